Move the general drivers out of platform/ into drivers/

Cause: platform/ is to hold the users' adapter only: names, formats, calls. Conclusion: no behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 RUNNER := $(BUILD)/tests/scenario-runner --binary $(BUILD)/gentiancross \
           --standin $(BUILD)/tests/standin-workers --folder $(BUILD)/scenario-runs
-SOURCES = $(shell git ls-files 'core/*' 'control/*' 'platform/*' 'servers/*' 'main/*' 'tests/*' 'benchmarks/*' \
+SOURCES = $(shell git ls-files 'core/*' 'control/*' 'drivers/*' 'platform/*' 'servers/*' 'main/*' 'tests/*' 'benchmarks/*' \
           | grep -E '\.(h|cpp)$$')
 
 .PHONY: all install build run test unit scenarios scenario bench format-check lint clean
--- a/benchmarks/reducer_load.cpp
+++ b/benchmarks/reducer_load.cpp
@@ -1,7 +1,7 @@
 #include "benchmarks/reducer_load.h"
 
-#include "platform/codec.h"
-#include "platform/journal_file.h"
+#include "drivers/codec.h"
+#include "drivers/journal_file.h"
 
 #include <utility>
 
--- a/platform/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "drivers/http_client.h"
 
 #include "core/error.h"
 
--- a/platform/http_listener.cpp
+++ b/drivers/http_listener.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_listener.h"
+#include "drivers/http_listener.h"
 
 #include "core/error.h"
 
--- a/platform/http_listener.h
+++ b/drivers/http_listener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/http_types.h"
+#include "drivers/http_types.h"
 
 #include <absl/status/status.h>
 
--- a/platform/journal_file.cpp
+++ b/drivers/journal_file.cpp
@@ -1,8 +1,8 @@
-#include "platform/journal_file.h"
+#include "drivers/journal_file.h"
 
 #include "core/error.h"
-#include "platform/codec.h"
-#include "platform/random.h"
+#include "drivers/codec.h"
+#include "drivers/random.h"
 
 #include <boost/crc.hpp>
 
--- a/platform/log.cpp
+++ b/drivers/log.cpp
@@ -1,6 +1,6 @@
-#include "platform/log.h"
+#include "drivers/log.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
--- a/platform/random.cpp
+++ b/drivers/random.cpp
@@ -1,4 +1,4 @@
-#include "platform/random.h"
+#include "drivers/random.h"
 
 #include <sodium.h>
 
--- a/platform/rpc/rpc_client.cpp
+++ b/drivers/rpc/rpc_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/rpc/rpc_client.h"
+#include "drivers/rpc/rpc_client.h"
 
 #include <curl/curl.h>
 #include <jsonrpccpp/client.h>
--- a/platform/rpc/rpc_dispatcher.cpp
+++ b/drivers/rpc/rpc_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/rpc/rpc_dispatcher.h"
+#include "drivers/rpc/rpc_dispatcher.h"
 
 #include <jsonrpccpp/server.h>
 
--- a/platform/system_clock.cpp
+++ b/drivers/system_clock.cpp
@@ -1,4 +1,4 @@
-#include "platform/system_clock.h"
+#include "drivers/system_clock.h"
 
 #include <ace/OS_NS_sys_time.h>
 #include <ace/OS_NS_time.h>
--- a/main/client_commands.cpp
+++ b/main/client_commands.cpp
@@ -1,8 +1,8 @@
 #include "main/client_commands.h"
 
 #include "core/error.h"
+#include "drivers/codec.h"
 #include "main/entry_client.h"
-#include "platform/codec.h"
 
 #include <absl/strings/str_split.h>
 
--- a/main/entry_client.cpp
+++ b/main/entry_client.cpp
@@ -1,8 +1,8 @@
 #include "main/entry_client.h"
 
 #include "core/error.h"
+#include "drivers/codec.h"
 #include "main/flat_text.h"
-#include "platform/codec.h"
 
 #include <future>
 #include <iostream>
--- a/main/entry_client.h
+++ b/main/entry_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "drivers/http_client.h"
 #include "main/arguments.h"
 #include "main/command.h"
-#include "platform/http_client.h"
 
 #include <json/json.h>
 
--- a/main/report_command.cpp
+++ b/main/report_command.cpp
@@ -2,8 +2,8 @@
 
 #include "core/error.h"
 #include "core/evening_page.h"
+#include "drivers/codec.h"
 #include "main/entry_client.h"
-#include "platform/codec.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/main/serve_settings.cpp
+++ b/main/serve_settings.cpp
@@ -1,9 +1,9 @@
 #include "main/serve_settings.h"
 
 #include "core/error.h"
+#include "drivers/codec.h"
 #include "main/arguments.h"
 #include "main/flat_text.h"
-#include "platform/codec.h"
 #include "servers/request_decoder.h"
 
 #include <absl/strings/numbers.h>
--- a/main/serve_settings.h
+++ b/main/serve_settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/host_directory.h"
-#include "platform/log.h"
+#include "drivers/log.h"
 #include "servers/front_server.h"
 
 #include <absl/status/statusor.h>
--- a/main/timeline_command.cpp
+++ b/main/timeline_command.cpp
@@ -1,9 +1,9 @@
 #include "main/timeline_command.h"
 
 #include "core/error.h"
+#include "drivers/codec.h"
 #include "main/entry_client.h"
 #include "main/timeline_picture.h"
-#include "platform/codec.h"
 
 #include <absl/strings/str_split.h>
 
--- a/main/version_command.cpp
+++ b/main/version_command.cpp
@@ -1,7 +1,7 @@
 #include "main/version_command.h"
 
+#include "drivers/codec.h"
 #include "main/entry_client.h"
-#include "platform/codec.h"
 
 #include <iostream>
 
--- a/servers/answer_encoder.cpp
+++ b/servers/answer_encoder.cpp
@@ -1,7 +1,7 @@
 #include "servers/answer_encoder.h"
 
 #include "core/error.h"
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "servers/json_fields.h"
 #include "servers/page_html.h"
 #include "servers/page_writer.h"
--- a/servers/answer_encoder.h
+++ b/servers/answer_encoder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/effects.h"
-#include "platform/http_types.h"
+#include "drivers/http_types.h"
 
 namespace gentiancross {
 
--- a/servers/effect_router.cpp
+++ b/servers/effect_router.cpp
@@ -1,6 +1,6 @@
 #include "servers/effect_router.h"
 
-#include "platform/log.h"
+#include "drivers/log.h"
 
 namespace gentiancross {
 
--- a/servers/front_server.cpp
+++ b/servers/front_server.cpp
@@ -1,7 +1,7 @@
 #include "servers/front_server.h"
 
 #include "core/error.h"
-#include "platform/random.h"
+#include "drivers/random.h"
 #include "servers/answer_encoder.h"
 #include "servers/request_decoder.h"
 
--- a/servers/front_server.h
+++ b/servers/front_server.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/clock.h"
-#include "platform/http_client.h"
-#include "platform/http_listener.h"
+#include "drivers/http_client.h"
+#include "drivers/http_listener.h"
 #include "servers/event_sink.h"
 #include "servers/metrics.h"
 #include "servers/peer_link.h"
--- a/servers/journal_server.h
+++ b/servers/journal_server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/journal_file.h"
+#include "drivers/journal_file.h"
 #include "servers/event_sink.h"
 #include "servers/metrics.h"
 #include "servers/work_queue.h"
--- a/servers/peer_link.cpp
+++ b/servers/peer_link.cpp
@@ -1,8 +1,8 @@
 #include "servers/peer_link.h"
 
 #include "core/record_size.h"
-#include "platform/codec.h"
-#include "platform/log.h"
+#include "drivers/codec.h"
+#include "drivers/log.h"
 
 namespace gentiancross {
 
--- a/servers/peer_link.h
+++ b/servers/peer_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/rpc/rpc_client.h"
-#include "platform/rpc/rpc_dispatcher.h"
+#include "drivers/rpc/rpc_client.h"
+#include "drivers/rpc/rpc_dispatcher.h"
 #include "servers/event_sink.h"
 #include "servers/work_queue.h"
 
--- a/servers/request_decoder.cpp
+++ b/servers/request_decoder.cpp
@@ -1,8 +1,8 @@
 #include "servers/request_decoder.h"
 
 #include "core/error.h"
-#include "platform/codec.h"
-#include "platform/random.h"
+#include "drivers/codec.h"
+#include "drivers/random.h"
 #include "servers/json_fields.h"
 #include "servers/page_words.h"
 #include "servers/worker_codec.h"
--- a/servers/request_decoder.h
+++ b/servers/request_decoder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/events.h"
-#include "platform/http_types.h"
+#include "drivers/http_types.h"
 
 #include <absl/status/statusor.h>
 
--- a/servers/target_link.h
+++ b/servers/target_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "platform/http_client.h"
+#include "drivers/http_client.h"
 #include "servers/event_sink.h"
 
 namespace gentiancross {
--- a/servers/worker_codec.cpp
+++ b/servers/worker_codec.cpp
@@ -1,7 +1,7 @@
 #include "servers/worker_codec.h"
 
 #include "core/error.h"
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "servers/json_fields.h"
 
 namespace gentiancross::workercodec {
--- a/tests/control/agreement_group.cpp
+++ b/tests/control/agreement_group.cpp
@@ -1,6 +1,6 @@
 #include "tests/control/agreement_group.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 
 namespace gentiancross::tests {
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/codec.h"
+#include "drivers/codec.h"
 
 #include "core/peer_messages.h"
 
--- a/tests/platform/journal_file_test.cpp
+++ b/tests/drivers/journal_file_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/journal_file.h"
+#include "drivers/journal_file.h"
 
 #include "core/error.h"
 
--- a/tests/runner/fleet.cpp
+++ b/tests/runner/fleet.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/fleet.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/runner/sender.h"
 
 #include <absl/strings/str_join.h>
--- a/tests/runner/fleet_conditions.cpp
+++ b/tests/runner/fleet_conditions.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/fleet_conditions.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/runner/sender.h"
 
 #include <absl/strings/str_split.h>
--- a/tests/runner/fleet_measure.cpp
+++ b/tests/runner/fleet_measure.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/fleet_measure.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/runner/sender.h"
 #include "tests/standins/standin_worker.h"
 
--- a/tests/runner/page_check.cpp
+++ b/tests/runner/page_check.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/page_check.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/runner/sender.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/runner/promise_check.cpp
+++ b/tests/runner/promise_check.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/promise_check.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/standins/standin_worker.h"
 
 #include <algorithm>
--- a/tests/runner/scenario.cpp
+++ b/tests/runner/scenario.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/scenario.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/runner/fleet_measure.h"
 #include "tests/runner/outcome_table.h"
 #include "tests/runner/storm.h"
--- a/tests/runner/sender.cpp
+++ b/tests/runner/sender.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/sender.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 #include "tests/standins/standin_worker.h"
 
 #include <absl/strings/str_split.h>
--- a/tests/runner/sender.h
+++ b/tests/runner/sender.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/http_client.h"
+#include "drivers/http_client.h"
 
 #include <condition_variable>
 #include <cstdint>
--- a/tests/runner/storm.cpp
+++ b/tests/runner/storm.cpp
@@ -1,6 +1,6 @@
 #include "tests/runner/storm.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 
 #include <algorithm>
 #include <chrono>
--- a/tests/servers/http_test.cpp
+++ b/tests/servers/http_test.cpp
@@ -1,5 +1,5 @@
-#include "platform/http_client.h"
-#include "platform/http_listener.h"
+#include "drivers/http_client.h"
+#include "drivers/http_listener.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -1,6 +1,6 @@
 #include "tests/standins/standin_server.h"
 
-#include "platform/codec.h"
+#include "drivers/codec.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/http_client.h"
+#include "drivers/http_client.h"
 #include "tests/standins/standin_worker.h"
 
 #include <atomic>
