--- a/control/agreed_state.cpp
+++ b/control/agreed_state.cpp
@@ -1,5 +1,7 @@
 #include "control/agreed_state.h"
 
+#include "control/jobs/job_book.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -96,6 +98,13 @@
     return found == m_data.authorities.end() ? nullptr : &found->second;
 }
 
+ApplyResult AgreedState::applyCommand(const JobChanges &command)
+{
+    for (const JobRecord &record : command.records)
+        jobbook::apply(m_data.jobs, record, nullptr);
+    return accept();
+}
+
 ApplyResult AgreedState::applyCommand(const PutTeam &command)
 {
     if (command.team.isEmpty())
--- a/control/agreed_state.h
+++ b/control/agreed_state.h
@@ -34,6 +34,7 @@
     [[nodiscard]] const AuthorityData *authority(const DataCentreId &dataCentre) const;
 
 private:
+    ApplyResult applyCommand(const JobChanges &command);
     ApplyResult applyCommand(const PutTeam &command);
     ApplyResult applyCommand(const GrantKey &command);
     ApplyResult applyCommand(const WithdrawKey &command);
--- a/control/agreement.cpp
+++ b/control/agreement.cpp
@@ -262,7 +262,7 @@
 void Agreement::replicateAll(Instant now, bool force, Outbox &out)
 {
     const std::vector<HostId> hosts
-            = force ? m_progress.allHosts() : m_progress.dueHosts(now, m_log.lastIndex());
+            = force ? m_progress.allHosts() : m_progress.dueHosts(now, m_log.lastIndex(), m_commit);
     for (const HostId &host : hosts)
         replicate(now, host, out);
 }
@@ -272,6 +272,7 @@
     FollowerProgress &progress = m_progress.at(host);
     progress.inFlight = true;
     progress.lastSent = now;
+    progress.toldCommit = m_commit;
     const LogIndex previous(progress.next.value() - 1);
     const std::optional<Term> previousTerm = m_log.termAt(previous);
     if (!previousTerm.has_value()) {
@@ -385,7 +386,8 @@
     confirmContacts(now, out);
     if (message.success)
         advanceCommit(now, out);
-    if (isLeader() && progress->next <= m_log.lastIndex())
+    const bool hasNews = progress->next <= m_log.lastIndex() || progress->toldCommit < m_commit;
+    if (isLeader() && hasNews)
         replicate(now, from, out);
 }
 
@@ -413,8 +415,10 @@
         return;
     applyCommitted();
     finishMembershipChange(now, out);
+    // A host with a message under way gets the news after its answer; sending more meanwhile would
+    // repeat the same entries for each commit.
     if (isLeader())
-        replicateAll(now, true, out);
+        replicateAll(now, false, out);
 }
 
 void Agreement::applyCommitted()
@@ -453,6 +457,23 @@
     return absl::OkStatus();
 }
 
+LogIndex Agreement::append(Instant now, AgreedCommand command, Outbox &out)
+{
+    appendOwn(now, {{}, {}, ProposalId(), std::move(command)}, out);
+    return m_log.lastIndex();
+}
+
+void Agreement::addHost(Instant now, const HostId &host)
+{
+    m_progress.add(host, now, m_log.lastIndex().next());
+}
+
+bool Agreement::isCaughtUp(const HostId &host) const
+{
+    const FollowerProgress *progress = m_progress.find(host);
+    return progress != nullptr && progress->replica.has_value() && progress->match >= m_commit;
+}
+
 absl::Status Agreement::proposeMembers(Instant now, const ProposalId &proposal,
                                        const std::set<HostId> &hosts, Outbox &out)
 {
--- a/control/agreement.h
+++ b/control/agreement.h
@@ -66,6 +66,12 @@
     absl::Status propose(Instant now, const ProposalId &proposal, const AgreedCommand &command,
                          Outbox &out);
 
+    /** Appends a command that is proposed once only. Precondition: leader. Returns its index. */
+    LogIndex append(Instant now, AgreedCommand command, Outbox &out);
+
+    /** A host that settings do not name may hold the log from now on. */
+    void addHost(Instant now, const HostId &host);
+
     /** Starts a change of the membership to the durable replicas of \a hosts, with the same errors.
      */
     absl::Status proposeMembers(Instant now, const ProposalId &proposal,
@@ -84,6 +90,9 @@
     [[nodiscard]] Term term() const { return m_ballot.term(); }
     [[nodiscard]] LogIndex commitIndex() const { return m_commit; }
     [[nodiscard]] LogIndex appliedIndex() const { return m_applied; }
+    /** True if what is applied includes an entry of the current term, and so all that was ever
+     * committed before it. */
+    [[nodiscard]] bool hasAppliedOwnTerm() const { return m_log.termAt(m_applied) == term(); }
     /** Entries held in memory. */
     [[nodiscard]] std::size_t logSize() const { return m_log.size(); }
     [[nodiscard]] const Membership &membership() const { return m_membership; }
@@ -94,6 +103,8 @@
      * after it. On this host's own clock, however long messages were under way.
      */
     [[nodiscard]] Instant confirmedContact() const { return m_confirmedContact; }
+    /** Precondition: leader. The host has answered in this term and holds all that is committed. */
+    [[nodiscard]] bool isCaughtUp(const HostId &host) const;
     /** Precondition: leader. Hosts that have not applied \a index yet. */
     [[nodiscard]] std::set<HostId> hostsBehind(LogIndex index) const
     {
--- /dev/null
+++ b/control/jobs/advice_desk.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "control/outbox.h"
+#include "core/job_calls.h"
+
+#include <map>
+#include <set>
+
+namespace gentiancross {
+
+/**
+ * Asks the adviser which workers may run a step and keeps its tickets. The adviser serves one
+ * call of each host at a time, so the calls are spread over the hosts that can make them.
+ * Thread safety: owned by the control thread.
+ */
+class AdviceDesk
+{
+public:
+    explicit AdviceDesk(HostId self);
+
+    /** A host that can call the adviser is there. */
+    void hostSeen(Instant now, const HostId &host);
+
+    /** True if no question about the step is under way. */
+    [[nodiscard]] bool mayAsk(Instant now, const StepRef &step) const;
+    /** Asks about \a workers, on the host that is free first. */
+    void ask(Instant now, const StepRef &step, const AdviceTerms &terms,
+             std::vector<WorkerId> workers, Outbox &out);
+    void receive(Instant now, const AdviceTold &told);
+    /** Gives up on questions that stayed without an answer. */
+    void tick(Instant now);
+
+    /** The worker's ticket for the step; null if there is none that stays valid long enough. */
+    [[nodiscard]] const std::string *ticket(Instant now, const StepRef &step,
+                                            const WorkerId &worker) const;
+    /** True if the adviser has said that the worker may not run the step. */
+    [[nodiscard]] bool isBad(const StepRef &step, const WorkerId &worker) const;
+    /** The worker refused the ticket. */
+    void drop(const StepRef &step, const WorkerId &worker);
+    /** Nothing of the job will start any more. */
+    void forget(const JobId &job);
+
+private:
+    struct Held
+    {
+        std::string ticket;
+        Instant validUntil;
+    };
+
+    struct StepAdvice
+    {
+        std::map<WorkerId, Held> good;
+        std::set<WorkerId> bad;
+        std::uint32_t pending = 0;
+        Instant nextAsk;
+    };
+
+    struct Question
+    {
+        StepRef step;
+        HostId host;
+        std::vector<WorkerId> workers;
+        Milliseconds cost;
+        Instant givenUpAt;
+    };
+
+    struct Caller
+    {
+        Instant lastSeen;
+        /** When what it was asked to do is done, by estimate. */
+        Instant freeAt;
+    };
+
+    [[nodiscard]] HostId chooseHost(Instant now);
+    void end(Instant now, std::map<AskId, Question>::iterator found, const AdviceTold &told);
+
+    HostId m_self;
+    AskId m_lastAsk;
+    std::map<HostId, Caller> m_hosts;
+    std::map<StepRef, StepAdvice> m_steps;
+    std::map<AskId, Question> m_questions;
+};
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/call_relay.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "control/outbox.h"
+#include "core/job_calls.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace gentiancross {
+
+/**
+ * Brings calls from outside to the cell's leader, and its answers back. Every host has one, since
+ * callers come in everywhere. Thread safety: owned by the control thread.
+ */
+class CallRelay
+{
+public:
+    /** \a seeds are asked first who leads. */
+    CallRelay(HostId self, LeaderAsk introduction, const std::vector<HostId> &seeds);
+
+    /** Passes a call on, or refuses it at once if nobody is known who could decide. */
+    void receive(Instant now, const CellCallReceived &event, Outbox &out);
+    void receive(Instant now, const HostId &from, const LeaderTold &message, Outbox &out);
+    void receive(const CallAnswered &message, Outbox &out);
+    /** The caller has gone away. */
+    void closed(ExchangeId exchange) { m_pending.erase(exchange); }
+    void tick(Instant now, Outbox &out);
+
+    /** True if a leader has said so lately. */
+    [[nodiscard]] bool hasLeader(Instant now) const;
+    [[nodiscard]] const std::set<HostId> &keepers() const { return m_keepers; }
+    void addKeeper(const HostId &host);
+
+private:
+    struct Pending
+    {
+        CellCall call;
+        Instant deadline;
+        HostId sentTo;
+        Instant sentAt;
+    };
+
+    void send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out);
+    void expire(Instant now, Outbox &out);
+    void askWhoLeads(Instant now, Outbox &out);
+
+    HostId m_self;
+    LeaderAsk m_introduction;
+    std::set<HostId> m_keepers;
+    std::optional<HostId> m_leader;
+    Instant m_leaderHeard;
+    Instant m_nextAsk;
+    std::map<ExchangeId, Pending> m_pending;
+};
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/cell_leader.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "control/jobs/advice_desk.h"
+#include "control/jobs/job_book.h"
+#include "control/jobs/start_planner.h"
+#include "control/jobs/worker_pool.h"
+#include "control/outbox.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace gentiancross {
+
+/** Where a call came in: the host that holds the caller's connection, and its exchange there. */
+struct CallOrigin
+{
+    HostId host;
+    ExchangeId exchange;
+};
+
+struct OriginAnswer
+{
+    CallOrigin origin;
+    CallAnswer answer;
+};
+
+/** What waits until records are durable: answers, orders, and which ends may be forgotten. */
+struct Decisions
+{
+    std::vector<JobRecord> records;
+    std::vector<OriginAnswer> answers;
+    std::vector<JobTaskRef> starts;
+    std::map<WorkerLife, EndNumber> notedEnds;
+
+    [[nodiscard]] bool isEmpty() const
+    {
+        return records.empty() && answers.empty() && starts.empty() && notedEnds.empty();
+    }
+};
+
+/** What a leader is made with. */
+struct LeaderOptions
+{
+    HostId self;
+    Fence fence;
+    /** Where workers reach this host. */
+    std::string beatAddress;
+};
+
+/**
+ * Decides for a cell while its host leads the cell's log: takes calls, follows the workers, starts
+ * tasks. Works on a copy of the job book that runs ahead of what is agreed on; whatever leaves the
+ * host because of a record waits until the record is (`takeDecisions`, `carryOut`).
+ * Thread safety: owned by the control thread.
+ */
+class CellLeader final : private JobBookObserver, private StartSink
+{
+public:
+    CellLeader(Instant now, LeaderOptions options, JobBookData book);
+
+    /** Takes a call in; its answer comes with the decisions. */
+    void receive(Instant now, Milliseconds wall, const CallOrigin &origin, const CellCall &call,
+                 Outbox &out);
+    void receive(Instant now, const WorkerAnswer &answer, Outbox &out);
+    void receive(Instant now, const AdviceTold &told) { m_advice.receive(now, told); }
+    void adviserSeen(Instant now, const HostId &host) { m_advice.hostSeen(now, host); }
+    /** Renews leases, repeats orders, finds what is lost and what is due. */
+    void tick(Instant now, Milliseconds wall, Outbox &out);
+    /** Orders what can start now. */
+    void startReady(Instant now, Outbox &out) { m_planner.plan(now, *this, out); }
+    /** What was decided since the last call. */
+    Decisions takeDecisions() { return std::exchange(m_decisions, {}); }
+    [[nodiscard]] bool hasDecisions() const { return !m_decisions.isEmpty(); }
+    /** The decisions' records are durable. Answers are the caller's to send. */
+    void carryOut(Instant now, const Decisions &decisions, Outbox &out);
+
+    [[nodiscard]] const JobBookData &book() const { return m_book; }
+
+private:
+    enum class OrderKind { Start, Stop, Hold };
+
+    struct Call
+    {
+        OrderKind kind = OrderKind::Hold;
+        WorkerLife life;
+        JobTaskRef task;
+        RunNumber run;
+        Instant sentAt;
+        /** Runs that were settled when the call left, so that a list without them is proof. */
+        std::set<JobTaskRef> settled;
+    };
+
+    void runOpened(const JobTaskRef &task, const Job &job, const TaskProgress &progress) override;
+    void runClosed(const JobTaskRef &task, const Job &job, const TaskProgress &progress) override;
+    void jobChanged(const JobId &id, const Job &job) override;
+    void startDecided(const JobTaskRef &task, RunNumber run, const WorkerLife &worker,
+                      const std::string &ticket) override;
+
+    void apply(JobRecord record);
+    void answer(const CallOrigin &origin, CallAnswer answer);
+    void refuse(const CallOrigin &origin, Refusal refusal, std::string reason);
+
+    void take(Instant now, Milliseconds wall, const CallOrigin &origin, const JobCall &call,
+              Outbox &out);
+    void take(Instant now, Milliseconds wall, const CallOrigin &origin, const PutDocument &call,
+              Outbox &out);
+    void take(Instant now, Milliseconds wall, const CallOrigin &origin, const GetDocument &call,
+              Outbox &out);
+    void take(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerBeat &call,
+              Outbox &out);
+    void take(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
+              Outbox &out);
+    void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
+                const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
+    void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
+    [[nodiscard]] std::uint64_t waitingIn(const QueueId &queue) const;
+
+    void startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
+    void stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer);
+    void holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
+    void takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
+                  Outbox &out);
+    void takeRunning(Instant now, PooledWorker &worker, const Call &call,
+                     const WorkerAnswer &answer, Outbox &out);
+    void endRun(const WorkerLife &life, const JobTaskRef &task, RunEnding ending, Outbox &out);
+    void endLife(const WorkerLife &life, const char *reason, Outbox &out);
+    void endLapsed(Instant now, Outbox &out);
+
+    void follow(Instant now, PooledWorker &worker, Outbox &out);
+    void hold(Instant now, PooledWorker &worker, Outbox &out);
+    void orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, OpenRun &run,
+                    Outbox &out);
+    void orderStop(Instant now, PooledWorker &worker, const JobTaskRef &task, RunNumber run,
+                   Outbox &out);
+    [[nodiscard]] bool isWanted(const JobTaskRef &task) const;
+
+    void beginDue(Milliseconds wall);
+
+    LeaderOptions m_options;
+    JobBookData m_book;
+    WorkerPool m_pool;
+    AdviceDesk m_advice;
+    StartPlanner m_planner;
+    Decisions m_decisions;
+    std::map<CallId, Call> m_calls;
+    std::uint64_t m_lastCall = 0;
+    std::map<QueueId, std::set<JobId>> m_waiting;
+    /** Jobs with occurrences still to begin. */
+    std::set<JobId> m_timed;
+};
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/cell_root.cpp
@@ -0,0 +1,367 @@
+#include "control/jobs/cell_root.h"
+
+#include "core/error.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace gentiancross {
+
+namespace {
+
+/** A leader acts for so long after its last message that a quorum has answered. Heartbeats go out
+ * every 700 ms; former leases are reckoned with the same margin (see WorkerPool). */
+constexpr Milliseconds ConfirmedFor{1200};
+constexpr Milliseconds VoterCheckInterval{500};
+/** A voter that is silent for so long gives its vote to a store that answers. */
+constexpr Milliseconds VoterSilence{4000};
+/** The platform's balancer asks for readiness every second and believes the second refusal. */
+constexpr Milliseconds EntryDrain{2600};
+constexpr Milliseconds KeeperDrain{600};
+/** A restart reads what was written since the last compaction; this bounds it to about a second. */
+constexpr std::size_t RecordsBeforeCompaction = 20'000;
+
+} // namespace
+
+CellRoot::CellRoot(CellOptions options)
+    : m_options(std::move(options))
+    , m_out(m_options.isKeeper)
+    , m_relay(m_options.directory.self, {m_options.isKeeper, m_options.callsAdviser},
+              m_options.seeds)
+{
+    if (m_options.isKeeper)
+        m_agreement.emplace(m_options.directory, m_options.identity, m_options.seed);
+}
+
+Effects CellRoot::reduce(const Event &event)
+{
+    m_now = event.now;
+    m_wall = event.wall;
+    std::visit([this](const auto &payload) { handle(payload); }, event.payload);
+    if (m_agreement.has_value()) {
+        m_agreement->takeApplied();
+        adjustLeader();
+        if (m_leader != nullptr && isConfirmed()) {
+            release();
+            propose();
+            release();
+        }
+        compactIfLarge();
+    }
+    return m_out.take();
+}
+
+void CellRoot::handle(const Ticked &)
+{
+    if (m_agreement.has_value()) {
+        m_agreement->tick(m_now, m_out);
+        adjustLeader();
+        adjustVoters();
+        if (m_leader != nullptr && isConfirmed())
+            m_leader->tick(m_now, m_wall, m_out);
+    }
+    if (m_leader == nullptr)
+        m_relay.tick(m_now, m_out);
+    if (m_isShuttingDown && !m_hasExited && m_now >= m_exitAt) {
+        m_hasExited = true;
+        m_out.add(Exit{});
+    }
+}
+
+void CellRoot::handle(const Recovered &event)
+{
+    if (!m_agreement.has_value())
+        return;
+    for (const JournalRecord &record : event.records)
+        m_agreement->recover(record);
+    m_agreement->recovered(m_now, event.fresh);
+    m_out.add(LogLine{
+            false, "start",
+            absl::StrCat("records=", event.records.size(), " term=", m_agreement->term().value())});
+}
+
+void CellRoot::handle(const Synced &event)
+{
+    m_out.synced(event.token);
+    if (m_agreement.has_value())
+        m_agreement->synced(m_now, event.token, m_out);
+}
+
+void CellRoot::handle(const PeerMessageReceived &event)
+{
+    std::visit([&](const auto &message) { handlePeer(event.from, message); }, event.message);
+}
+
+void CellRoot::handle(const CellCallReceived &event)
+{
+    if (m_leader == nullptr) {
+        m_relay.receive(m_now, event, m_out);
+        return;
+    }
+    m_leader->receive(m_now, m_wall, {m_options.directory.self, event.exchange}, event.call, m_out);
+}
+
+void CellRoot::handle(const WorkerAnswer &event)
+{
+    if (m_leader != nullptr)
+        m_leader->receive(m_now, event, m_out);
+}
+
+void CellRoot::handle(const AdviceTold &event)
+{
+    const auto relayed = m_relayedAsks.find(event.ask);
+    if (relayed != m_relayedAsks.end()) {
+        AdviceTold told = event;
+        told.ask = relayed->second.second;
+        m_out.send(relayed->second.first, std::move(told));
+        m_relayedAsks.erase(relayed);
+    } else if (m_leader != nullptr) {
+        m_leader->receive(m_now, event);
+    }
+}
+
+void CellRoot::handle(const SeedsRead &event)
+{
+    m_out.add(LogLine{false, "reload", absl::StrCat("seeds=", event.seeds.size())});
+    for (const HostId &seed : event.seeds) {
+        m_relay.addKeeper(seed);
+        if (m_agreement.has_value())
+            addKeeper(seed);
+    }
+}
+
+void CellRoot::handle(const ReadinessAsked &event)
+{
+    ReadinessAnswer answer;
+    answer.ready = !m_isShuttingDown && (m_leader != nullptr || m_relay.hasLeader(m_now));
+    answer.reason = m_isShuttingDown ? "shutting down" : answer.ready ? "" : "no leader is known";
+    m_out.add(Reply{event.exchange, std::move(answer)});
+}
+
+void CellRoot::handle(const ExchangeClosed &event)
+{
+    m_relay.closed(event.exchange);
+}
+
+void CellRoot::handle(const ShutdownRequested &)
+{
+    if (m_isShuttingDown)
+        return;
+    m_isShuttingDown = true;
+    m_exitAt = m_now + (m_options.isKeeper ? KeeperDrain : EntryDrain);
+    m_out.add(LogLine{false, "stop", "readiness is refused from now on"});
+}
+
+void CellRoot::handlePeer(const HostId &from, const LeaderAsk &message)
+{
+    if (!m_agreement.has_value())
+        return;
+    if (message.isKeeper)
+        addKeeper(from);
+    const bool decides = m_leader != nullptr && isConfirmed();
+    if (decides && message.callsAdviser)
+        m_leader->adviserSeen(m_now, from);
+    LeaderTold told;
+    told.leader = m_agreement->leader();
+    told.decides = decides;
+    for (const auto &[host, info] : m_options.directory.hosts)
+        told.keepers.push_back(host);
+    m_out.send(from, std::move(told));
+}
+
+void CellRoot::handlePeer(const HostId &from, const LeaderTold &message)
+{
+    if (m_agreement.has_value()) {
+        for (const HostId &keeper : message.keepers)
+            addKeeper(keeper);
+    }
+    m_relay.receive(m_now, from, message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const CallRelayed &message)
+{
+    // A host that does not decide says nothing; the sender asks the next leader.
+    if (m_leader != nullptr)
+        m_leader->receive(m_now, m_wall, {from, message.exchange}, message.call, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &, const CallAnswered &message)
+{
+    m_relay.receive(message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const AdviceAsk &message)
+{
+    m_lastRelayedAsk = m_lastRelayedAsk.next();
+    // Apart from the numbers of this host's own questions, should it lead.
+    const AskId here(m_lastRelayedAsk.value() | (std::uint64_t(1) << 62));
+    m_relayedAsks[here] = {from, message.ask};
+    AdviceAsk ask = message;
+    ask.ask = here;
+    m_out.add(std::move(ask));
+}
+
+void CellRoot::handlePeer(const HostId &, const AdviceTold &message)
+{
+    if (m_leader != nullptr)
+        m_leader->receive(m_now, message);
+}
+
+void CellRoot::handlePeer(const HostId &from, const Hello &message)
+{
+    if (!m_agreement.has_value())
+        return;
+    addKeeper(from);
+    m_agreement->receive(m_now, from, message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const VoteRequest &message)
+{
+    if (m_agreement.has_value())
+        m_agreement->receive(m_now, from, message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const VoteReply &message)
+{
+    if (m_agreement.has_value())
+        m_agreement->receive(m_now, from, message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const AppendRequest &message)
+{
+    if (m_agreement.has_value())
+        m_agreement->receive(m_now, from, message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const AppendReply &message)
+{
+    if (m_agreement.has_value())
+        m_agreement->receive(m_now, from, message, m_out);
+}
+
+void CellRoot::handlePeer(const HostId &from, const InstallSnapshot &message)
+{
+    if (m_agreement.has_value())
+        m_agreement->receive(m_now, from, message, m_out);
+}
+
+void CellRoot::addKeeper(const HostId &host)
+{
+    if (m_options.directory.knows(host))
+        return;
+    m_options.directory.hosts.emplace(host, HostInfo{host, DataCentreId(), true});
+    m_agreement->addHost(m_now, host);
+    m_relay.addKeeper(host);
+    m_out.add(LogLine{false, host.value(), "keeper is known"});
+}
+
+void CellRoot::adjustLeader()
+{
+    const bool leads = m_agreement->isLeader();
+    if (!leads && m_leader != nullptr) {
+        m_out.add(LogLine{true, "leader",
+                          absl::StrCat("no longer leads: term=", m_agreement->term().value(),
+                                       " undecided=", m_proposed.size())});
+        m_leader.reset();
+        m_proposed.clear();
+        return;
+    }
+    // Until an entry of its own term is applied, a leader does not know all that was promised.
+    if (!leads || m_leader != nullptr || !isConfirmed() || !m_agreement->hasAppliedOwnTerm())
+        return;
+    LeaderOptions options{m_options.directory.self, Fence(m_agreement->term().value()),
+                          m_options.beatAddress};
+    m_leader = std::make_unique<CellLeader>(m_now, std::move(options),
+                                            m_agreement->state().data().jobs);
+    m_out.add(LogLine{false, "leader",
+                      absl::StrCat("decides from now on: term=", m_agreement->term().value(),
+                                   " index=", m_agreement->appliedIndex().value(),
+                                   " jobs=", m_leader->book().jobs.size())});
+}
+
+bool CellRoot::isConfirmed() const
+{
+    return m_agreement->isLeader() && m_now - m_agreement->confirmedContact() < ConfirmedFor;
+}
+
+void CellRoot::adjustVoters()
+{
+    if (!m_agreement->isLeader() || m_now < m_nextVoterCheck)
+        return;
+    m_nextVoterCheck = m_now + VoterCheckInterval;
+    std::set<HostId> voters;
+    std::optional<HostId> silent;
+    for (const ReplicaId &replica : m_agreement->membership().voters) {
+        const HostId host = hostOf(replica);
+        const std::optional<Instant> reply = m_agreement->lastReplyOf(host);
+        if (host != m_options.directory.self && reply.has_value() && m_now - *reply > VoterSilence
+            && !silent.has_value())
+            silent = host;
+        voters.insert(host);
+    }
+    std::optional<HostId> spare;
+    for (const auto &[host, info] : m_options.directory.hosts) {
+        const std::optional<Instant> reply = m_agreement->lastReplyOf(host);
+        const bool answers = reply.has_value() && m_now - *reply < VoterCheckInterval * 3;
+        if (!voters.contains(host) && answers && m_agreement->isCaughtUp(host))
+            spare = host;
+    }
+    const bool isShort = voters.size() < m_options.voters;
+    if (!spare.has_value() || (!silent.has_value() && !isShort))
+        return;
+    if (!isShort)
+        voters.erase(*silent);
+    voters.insert(*spare);
+    const ProposalId proposal(
+            absl::StrCat("voters:", m_options.identity.session.value(), ":", ++m_memberChanges));
+    const absl::Status status = m_agreement->proposeMembers(m_now, proposal, voters, m_out);
+    m_out.add(LogLine{!status.ok(), spare->value(),
+                      status.ok() ? absl::StrCat("becomes a voter in place of ",
+                                                 silent.value_or(HostId("none")).value())
+                                  : describeError(status)});
+}
+
+void CellRoot::propose()
+{
+    // One entry is under way at a time; what is decided meanwhile shares the next.
+    if (!m_proposed.empty() && m_agreement->appliedIndex() < m_proposed.back().index)
+        return;
+    m_leader->startReady(m_now, m_out);
+    if (!m_leader->hasDecisions())
+        return;
+    Proposed proposed{LogIndex(), m_leader->takeDecisions()};
+    if (proposed.decisions.records.empty())
+        proposed.index = m_agreement->appliedIndex();
+    else
+        proposed.index = m_agreement->append(m_now, JobChanges{proposed.decisions.records}, m_out);
+    proposed.decisions.records.clear();
+    m_proposed.push_back(std::move(proposed));
+}
+
+void CellRoot::release()
+{
+    while (!m_proposed.empty() && m_proposed.front().index <= m_agreement->appliedIndex()) {
+        const Decisions decisions = std::move(m_proposed.front().decisions);
+        m_proposed.pop_front();
+        for (const OriginAnswer &answer : decisions.answers)
+            sendAnswer(answer.origin, answer.answer);
+        m_leader->carryOut(m_now, decisions, m_out);
+    }
+}
+
+void CellRoot::sendAnswer(const CallOrigin &origin, const CallAnswer &answer)
+{
+    if (origin.host == m_options.directory.self)
+        m_out.add(AnswerCall{origin.exchange, answer});
+    else
+        m_out.send(origin.host, CallAnswered{origin.exchange, answer});
+}
+
+void CellRoot::compactIfLarge()
+{
+    if (m_out.recordsSinceReplace() >= RecordsBeforeCompaction)
+        m_out.replaceJournal(m_agreement->compact());
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/cell_root.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "control/agreement.h"
+#include "control/jobs/call_relay.h"
+#include "control/jobs/cell_leader.h"
+#include "control/outbox.h"
+#include "control/reducer.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+namespace gentiancross {
+
+/** What a host of a cell is made with. */
+struct CellOptions
+{
+    /** Keepers that are known from the start; the initial voters are set only when founding. */
+    HostDirectory directory;
+    Identity identity;
+    std::vector<HostId> seeds;
+    /** True if this host keeps the cell's log on a disk. */
+    bool isKeeper = false;
+    /** True if this host can call the cell's adviser. */
+    bool callsAdviser = false;
+    /** Where workers reach this host, if it is a keeper. */
+    std::string beatAddress;
+    /** How many voters the log has: two for each loss that it must bear, and one. */
+    std::size_t voters = 3;
+    std::uint64_t seed = 1;
+};
+
+/**
+ * The reducer of a host in a cell whose log holds the jobs themselves. The log's leader decides for
+ * the whole cell; every host passes calls on to it. Does no input or output and reads no clock.
+ * Thread safety: owned by the control thread.
+ */
+class CellRoot final : public Reducer
+{
+public:
+    explicit CellRoot(CellOptions options);
+
+    /** Takes one event in and returns its effects. Precondition: Recovered comes first, once. */
+    Effects reduce(const Event &event) override;
+
+private:
+    void handle(const Ticked &event);
+    void handle(const Recovered &event);
+    void handle(const Synced &event);
+    void handle(const PeerMessageReceived &event);
+    void handle(const CellCallReceived &event);
+    void handle(const WorkerAnswer &event);
+    void handle(const AdviceTold &event);
+    void handle(const SeedsRead &event);
+    void handle(const ReadinessAsked &event);
+    void handle(const ExchangeClosed &event);
+    void handle(const ShutdownRequested &event);
+    /** Events of hosts that decide for a data centre; a host of a cell causes none. */
+    template <typename Payload>
+    void handle(const Payload &)
+    {}
+
+    void handlePeer(const HostId &from, const LeaderAsk &message);
+    void handlePeer(const HostId &from, const LeaderTold &message);
+    void handlePeer(const HostId &from, const CallRelayed &message);
+    void handlePeer(const HostId &from, const CallAnswered &message);
+    void handlePeer(const HostId &from, const AdviceAsk &message);
+    void handlePeer(const HostId &from, const AdviceTold &message);
+    void handlePeer(const HostId &from, const Hello &message);
+    void handlePeer(const HostId &from, const VoteRequest &message);
+    void handlePeer(const HostId &from, const VoteReply &message);
+    void handlePeer(const HostId &from, const AppendRequest &message);
+    void handlePeer(const HostId &from, const AppendReply &message);
+    void handlePeer(const HostId &from, const InstallSnapshot &message);
+    /** Messages of hosts that decide for a data centre. */
+    template <typename Message>
+    void handlePeer(const HostId &, const Message &)
+    {}
+
+    void addKeeper(const HostId &host);
+    void adjustLeader();
+    void adjustVoters();
+    [[nodiscard]] bool isConfirmed() const;
+    void propose();
+    void release();
+    void sendAnswer(const CallOrigin &origin, const CallAnswer &answer);
+    void compactIfLarge();
+
+    /** Decisions whose records are in the log up to `index`. */
+    struct Proposed
+    {
+        LogIndex index;
+        Decisions decisions;
+    };
+
+    CellOptions m_options;
+    Outbox m_out;
+    std::optional<Agreement> m_agreement;
+    CallRelay m_relay;
+    std::unique_ptr<CellLeader> m_leader;
+    std::deque<Proposed> m_proposed;
+    /** Questions to the adviser that other hosts sent here, by the number they have here. */
+    std::map<AskId, std::pair<HostId, AskId>> m_relayedAsks;
+    AskId m_lastRelayedAsk;
+    Instant m_nextVoterCheck;
+    std::uint64_t m_memberChanges = 0;
+    Instant m_now;
+    Milliseconds m_wall;
+    Instant m_exitAt;
+    bool m_isShuttingDown = false;
+    bool m_hasExited = false;
+};
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/config_rules.cpp
@@ -0,0 +1,58 @@
+#include "control/jobs/config_rules.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace gentiancross::configrules {
+
+std::optional<std::string> defectOf(const ConfigDocument &document)
+{
+    std::set<PoolId> pools;
+    for (const PoolConfig &pool : document.pools)
+        pools.insert(pool.pool);
+    std::set<std::pair<std::string, std::string>> places;
+    for (const QueueConfig &queue : document.queues) {
+        if (!pools.contains(queue.pool))
+            return "queue \"" + queue.queue.value() + "\" names the unknown pool \""
+                    + queue.pool.value() + '"';
+        if (!places.insert({queue.host, queue.pathPrefix}).second)
+            return "queue \"" + queue.queue.value() + "\" has the address of another queue";
+        if (queue.timeout <= Milliseconds(0))
+            return "queue \"" + queue.queue.value() + "\" has no timeout";
+    }
+    std::set<ApiKey> keys;
+    for (const TeamConfig &team : document.teams) {
+        for (const ApiKey &key : std::set<ApiKey>(team.keys.begin(), team.keys.end())) {
+            if (!keys.insert(key).second)
+                return "team \"" + team.team.value() + "\" has a key of another team";
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<QueueMatch> findQueue(const ConfigDocument &document, const std::string &host,
+                                    const std::string &path)
+{
+    const QueueConfig *best = nullptr;
+    for (const QueueConfig &queue : document.queues) {
+        if (queue.host != host || !path.starts_with(queue.pathPrefix))
+            continue;
+        if (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())
+            best = &queue;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return QueueMatch{best, path.substr(best->pathPrefix.size())};
+}
+
+const TeamConfig *findTeam(const ConfigDocument &document, const ApiKey &key)
+{
+    const auto found = std::find_if(
+            document.teams.begin(), document.teams.end(), [&key](const TeamConfig &team) {
+                return std::find(team.keys.begin(), team.keys.end(), key) != team.keys.end();
+            });
+    return found == document.teams.end() ? nullptr : &*found;
+}
+
+} // namespace gentiancross::configrules
--- /dev/null
+++ b/control/jobs/job_book.cpp
@@ -0,0 +1,228 @@
+#include "control/jobs/job_book.h"
+
+#include <algorithm>
+
+namespace gentiancross {
+
+namespace {
+
+/** Applies one record; a record that does not fit the book any more changes nothing. */
+class Applier
+{
+public:
+    Applier(JobBookData &data, JobBookObserver *observer)
+        : m_data(data)
+        , m_observer(observer)
+    {}
+
+    void operator()(const DocumentAccepted &record)
+    {
+        if (!m_data.document.has_value() || m_data.document->version < record.document.version)
+            m_data.document = record.document;
+    }
+
+    void operator()(const JobAccepted &record)
+    {
+        const auto [found, isNew] = m_data.jobs.try_emplace(record.id);
+        if (!isNew)
+            return;
+        Job &job = found->second;
+        job.terms = record.terms;
+        job.spec = record.spec;
+        job.acceptedAt = record.acceptedAt;
+        if (job.spec.repeats == 0)
+            beginOccurrence(job);
+        changed(record.id, job);
+    }
+
+    void operator()(const JobCancelled &record)
+    {
+        const auto found = m_data.jobs.find(record.id);
+        if (found == m_data.jobs.end() || found->second.isOver())
+            return;
+        found->second.state = JobState::Cancelled;
+        changed(record.id, found->second);
+    }
+
+    void operator()(const OccurrenceBegun &record)
+    {
+        const auto found = m_data.jobs.find(record.id);
+        if (found == m_data.jobs.end() || found->second.isOver()
+            || found->second.occurrencesBegun >= found->second.spec.repeats)
+            return;
+        beginOccurrence(found->second);
+        changed(record.id, found->second);
+    }
+
+    void operator()(const RunOrdered &record)
+    {
+        Job *const job = findJob(record.task);
+        TaskProgress *const task = findTask(record.task);
+        if (task == nullptr || record.run <= task->lastRun)
+            return;
+        task->lastRun = record.run;
+        task->isOpen = true;
+        task->worker = record.worker;
+        if (job->state == JobState::Queued)
+            job->state = JobState::Running;
+        if (m_observer != nullptr)
+            m_observer->runOpened(record.task, *job, *task);
+    }
+
+    void operator()(const RunEnded &record)
+    {
+        Job *const job = findJob(record.task);
+        TaskProgress *const task = findTask(record.task);
+        if (task == nullptr)
+            return;
+        const StepSpec &step = job->spec.steps[record.task.step.step];
+        if (record.ending == RunEnding::Done && !step.isLasting) {
+            finish(record.task, *job, step);
+            return;
+        }
+        if (record.run != task->lastRun || !task->isOpen)
+            return;
+        close(record.task, *job, *task);
+        if (!record.checkpoint.empty())
+            keepCheckpoint(record, *job, step);
+        if (record.ending == RunEnding::Failed)
+            countFailure(record, *job, step);
+        changed(record.task.step.job, *job);
+    }
+
+    void operator()(const WorkerSeen &record)
+    {
+        m_data.workers.insert_or_assign(record.report.life, record.report);
+    }
+
+    void operator()(const WorkerGone &record) { m_data.workers.erase(record.life); }
+
+private:
+    static void beginOccurrence(Job &job)
+    {
+        Occurrence occurrence;
+        for (const StepSpec &step : job.spec.steps)
+            occurrence.steps.emplace_back(step.count);
+        job.occurrences.emplace(job.occurrencesBegun, std::move(occurrence));
+        ++job.occurrencesBegun;
+    }
+
+    Job *findJob(const JobTaskRef &task)
+    {
+        const auto found = m_data.jobs.find(task.step.job);
+        return found == m_data.jobs.end() ? nullptr : &found->second;
+    }
+
+    TaskProgress *findTask(const JobTaskRef &task)
+    {
+        return const_cast<TaskProgress *>(jobbook::find(m_data, task));
+    }
+
+    void close(const JobTaskRef &ref, const Job &job, TaskProgress &task)
+    {
+        if (!task.isOpen)
+            return;
+        if (m_observer != nullptr)
+            m_observer->runClosed(ref, job, task);
+        task.isOpen = false;
+    }
+
+    /** Marks a task as done; the end of one member of a gang stands for all. */
+    void finish(const JobTaskRef &ref, Job &job, const StepSpec &step)
+    {
+        std::vector<TaskProgress> &tasks
+                = job.occurrences.at(ref.step.occurrence).steps[ref.step.step];
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            if (!step.isGang && index != ref.index)
+                continue;
+            close({ref.step, index}, job, tasks[index]);
+            tasks[index].isDone = true;
+        }
+        finishOccurrence(ref.step, job);
+        changed(ref.step.job, job);
+    }
+
+    void finishOccurrence(const StepRef &ref, Job &job)
+    {
+        const auto found = job.occurrences.find(ref.occurrence);
+        for (const std::vector<TaskProgress> &tasks : found->second.steps) {
+            if (!std::all_of(tasks.begin(), tasks.end(),
+                             [](const TaskProgress &task) { return task.isDone; }))
+                return;
+        }
+        ++job.occurrencesDone;
+        if (job.isOver() || job.occurrencesDone < std::max(1U, job.spec.repeats))
+            return;
+        job.state = JobState::Completed;
+    }
+
+    /** A checkpoint of any member of a gang resumes all of them, and all must have the same. */
+    static void keepCheckpoint(const RunEnded &record, Job &job, const StepSpec &step)
+    {
+        std::vector<TaskProgress> &tasks
+                = job.occurrences.at(record.task.step.occurrence).steps[record.task.step.step];
+        if (!step.isGang) {
+            tasks[record.task.index].checkpoint = record.checkpoint;
+            return;
+        }
+        for (TaskProgress &task : tasks)
+            task.checkpoint = record.checkpoint;
+    }
+
+    static void countFailure(const RunEnded &record, Job &job, const StepSpec &step)
+    {
+        std::vector<TaskProgress> &tasks
+                = job.occurrences.at(record.task.step.occurrence).steps[record.task.step.step];
+        // A gang's failures are kept with its first member.
+        TaskProgress &task = tasks[step.isGang ? 0 : record.task.index];
+        ++task.failures;
+        if (!step.isLasting && task.failures >= job.terms.mostAttempts && !job.isOver())
+            job.state = JobState::Failed;
+    }
+
+    void changed(const JobId &id, const Job &job)
+    {
+        if (m_observer != nullptr)
+            m_observer->jobChanged(id, job);
+    }
+
+    JobBookData &m_data;
+    JobBookObserver *m_observer;
+};
+
+} // namespace
+
+namespace jobbook {
+
+void apply(JobBookData &data, const JobRecord &record, JobBookObserver *observer)
+{
+    std::visit(Applier(data, observer), record);
+}
+
+bool isStepReady(const Job &job, const Occurrence &occurrence, std::uint32_t step)
+{
+    const std::vector<std::uint32_t> &after = job.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        const std::vector<TaskProgress> &tasks = occurrence.steps[earlier];
+        return std::all_of(tasks.begin(), tasks.end(),
+                           [](const TaskProgress &task) { return task.isDone; });
+    });
+}
+
+const TaskProgress *find(const JobBookData &data, const JobTaskRef &task)
+{
+    const auto job = data.jobs.find(task.step.job);
+    if (job == data.jobs.end())
+        return nullptr;
+    const auto occurrence = job->second.occurrences.find(task.step.occurrence);
+    if (occurrence == job->second.occurrences.end())
+        return nullptr;
+    const auto &steps = occurrence->second.steps;
+    if (task.step.step >= steps.size() || task.index >= steps[task.step.step].size())
+        return nullptr;
+    return &steps[task.step.step][task.index];
+}
+
+} // namespace jobbook
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/job_book.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/job_records.h"
+
+#include <cstdint>
+
+namespace gentiancross {
+
+/** Hears of what applying a record changes. All methods are called on the control thread. */
+class JobBookObserver
+{
+public:
+    JobBookObserver() = default;
+    JobBookObserver(const JobBookObserver &) = delete;
+    JobBookObserver &operator=(const JobBookObserver &) = delete;
+    virtual ~JobBookObserver() = default;
+
+    /** \a task has been ordered as \a progress tells. */
+    virtual void runOpened(const JobTaskRef &task, const Job &job, const TaskProgress &progress)
+            = 0;
+    /** The last run of \a task is over; \a progress is as it was before. */
+    virtual void runClosed(const JobTaskRef &task, const Job &job, const TaskProgress &progress)
+            = 0;
+    /** The job is new, has begun an occurrence, has finished a step or is over. */
+    virtual void jobChanged(const JobId &id, const Job &job) = 0;
+};
+
+/** Changes a job book by records. Deterministic: the same records give the same book. */
+namespace jobbook {
+
+/** Applies \a record to \a data; \a observer may be null. Reentrant. */
+void apply(JobBookData &data, const JobRecord &record, JobBookObserver *observer);
+
+/** True if all tasks of the steps that \a step waits for are done. Reentrant. */
+bool isStepReady(const Job &job, const Occurrence &occurrence, std::uint32_t step);
+
+/** The task's progress, or null if there is none. Reentrant. */
+const TaskProgress *find(const JobBookData &data, const JobTaskRef &task);
+
+} // namespace jobbook
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/start_planner.cpp
@@ -0,0 +1,301 @@
+#include "control/jobs/start_planner.h"
+
+#include <algorithm>
+
+namespace gentiancross {
+
+namespace {
+
+/** A question names enough workers that the step finds room on those that are good. */
+constexpr std::size_t LeastAsked = 10;
+constexpr std::size_t MostAsked = 28;
+/** Steps are asked about ahead of the room that is free by this part of all, in percent: about
+ * what becomes free while an answer is under way. */
+constexpr std::int64_t AskAheadPercent = 25;
+constexpr std::int64_t Percent = 100;
+
+const Occurrence &occurrenceOf(const StepRef &ref, const Job &job)
+{
+    return job.occurrences.at(ref.occurrence);
+}
+
+std::vector<std::uint32_t> idleTasks(const StepRef &ref, const Job &job)
+{
+    std::vector<std::uint32_t> idle;
+    const std::vector<TaskProgress> &tasks = occurrenceOf(ref, job).steps[ref.step];
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (!tasks[index].isOpen && !tasks[index].isDone)
+            idle.push_back(index);
+    }
+    return idle;
+}
+
+/** Tasks that wait to be placed; a gang only once no member is at work any more. */
+bool hasIdleTasks(const StepRef &ref, const Job &job)
+{
+    const std::vector<std::uint32_t> idle = idleTasks(ref, job);
+    const StepSpec &step = job.spec.steps[ref.step];
+    return step.isGang ? idle.size() == step.count : !idle.empty();
+}
+
+bool exceeds(std::int64_t value, std::int64_t cap)
+{
+    return cap != 0 && value > cap;
+}
+
+} // namespace
+
+StartPlanner::StartPlanner(const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
+                           std::unique_ptr<WorkerChoice> choice)
+    : m_book(book)
+    , m_pool(pool)
+    , m_advice(advice)
+    , m_choice(std::move(choice))
+{}
+
+void StartPlanner::runOpened(const JobTaskRef &task, const Job &job, const WorkerLife &worker)
+{
+    m_running[job.terms.team] += job.spec.steps[task.step.step].each;
+    ++m_spread[task.step][worker];
+}
+
+void StartPlanner::runClosed(const JobTaskRef &task, const Job &job, const WorkerLife &worker)
+{
+    m_running[job.terms.team] -= job.spec.steps[task.step.step].each;
+    const auto found = m_spread.find(task.step);
+    if (found == m_spread.end())
+        return;
+    if (--found->second[worker] == 0)
+        found->second.erase(worker);
+    if (found->second.empty())
+        m_spread.erase(found);
+}
+
+void StartPlanner::jobChanged(const JobId &id, const Job &job)
+{
+    const auto listed = m_readyOf.find(id);
+    if (listed != m_readyOf.end()) {
+        for (const ReadyStep &ready : listed->second)
+            m_ready.erase(ready);
+        m_readyOf.erase(listed);
+    }
+    if (job.isOver()) {
+        m_advice.forget(id);
+        return;
+    }
+    std::vector<ReadyStep> steps;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const StepRef ref{id, number, step};
+            if (jobbook::isStepReady(job, occurrence, step) && hasIdleTasks(ref, job))
+                steps.push_back({job.terms.priority, false, job.acceptedAt, ref});
+        }
+    }
+    if (steps.empty())
+        return;
+    m_ready.insert(steps.begin(), steps.end());
+    m_readyOf.emplace(id, std::move(steps));
+}
+
+void StartPlanner::plan(Instant now, StartSink &sink, Outbox &out)
+{
+    MilliCores free;
+    MilliCores whole;
+    for (const auto &[life, worker] : m_pool.all()) {
+        if (!WorkerPool::isUsable(worker, now))
+            continue;
+        free += worker.room().cores;
+        whole += worker.report.capacity.cores;
+    }
+    m_waitingCores = MilliCores(0);
+    m_worthAsking = free + whole * AskAheadPercent / Percent;
+    // Starts change the set, so the turns are taken from a copy.
+    const std::vector<ReadyStep> turns(m_ready.begin(), m_ready.end());
+    for (const ReadyStep &ready : turns)
+        planStep(now, ready, sink, out);
+}
+
+void StartPlanner::planStep(Instant now, const ReadyStep &ready, StartSink &sink, Outbox &out)
+{
+    const auto found = m_book.jobs.find(ready.step.job);
+    if (found == m_book.jobs.end() || found->second.isOver())
+        return;
+    const Job &job = found->second;
+    if (job.spec.steps[ready.step.step].isGang)
+        planGang(now, ready.step, job, sink);
+    else
+        planTasks(now, ready.step, job, sink);
+    const std::vector<std::uint32_t> idle = idleTasks(ready.step, job);
+    if (idle.empty()) {
+        jobChanged(ready.step.job, job);
+        return;
+    }
+    if (job.terms.advice.has_value() && m_waitingCores < m_worthAsking)
+        askAdvice(now, ready.step, job, out);
+    m_waitingCores
+            += job.spec.steps[ready.step.step].each.cores * static_cast<std::int64_t>(idle.size());
+}
+
+void StartPlanner::planTasks(Instant now, const StepRef &ref, const Job &job, StartSink &sink)
+{
+    const StepSpec &step = job.spec.steps[ref.step];
+    for (const std::uint32_t index : idleTasks(ref, job)) {
+        if (!isWithinCap(job.terms.team, step.each))
+            return;
+        const PooledWorker *const worker = choose(now, ref, job, nullptr, {});
+        if (worker == nullptr)
+            return;
+        const TaskProgress &task = occurrenceOf(ref, job).steps[ref.step][index];
+        const WorkerLife life = worker->report.life;
+        sink.startDecided({ref, index}, task.lastRun.next(), life, ticketOf(now, ref, job, life));
+    }
+}
+
+void StartPlanner::planGang(Instant now, const StepRef &ref, const Job &job, StartSink &sink)
+{
+    const StepSpec &step = job.spec.steps[ref.step];
+    if (!hasIdleTasks(ref, job))
+        return;
+    Resources all;
+    for (std::uint32_t index = 0; index < step.count; ++index)
+        all += step.each;
+    if (!isWithinCap(job.terms.team, all))
+        return;
+    std::vector<WorkerLife> places;
+    bool isPlaced = false;
+    if (step.prefersOneRack) {
+        std::set<RackId> racks;
+        for (const auto &[life, worker] : m_pool.all())
+            racks.insert(worker.report.rack);
+        for (const RackId &rack : racks) {
+            isPlaced = isPlaced || placeGang(now, ref, job, &rack, places);
+        }
+    }
+    if (!isPlaced && !placeGang(now, ref, job, nullptr, places))
+        return;
+    // All members of a run have one number, above all that any of them had.
+    RunNumber last;
+    for (const TaskProgress &task : occurrenceOf(ref, job).steps[ref.step])
+        last = std::max(last, task.lastRun);
+    for (std::uint32_t index = 0; index < step.count; ++index)
+        sink.startDecided({ref, index}, last.next(), places[index],
+                          ticketOf(now, ref, job, places[index]));
+}
+
+bool StartPlanner::placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
+                             std::vector<WorkerLife> &places)
+{
+    const StepSpec &step = job.spec.steps[ref.step];
+    std::map<WorkerLife, std::uint32_t> planned;
+    places.clear();
+    while (places.size() < step.count) {
+        PooledWorker *const worker = choose(now, ref, job, rack, planned);
+        if (worker == nullptr)
+            break;
+        places.push_back(worker->report.life);
+        ++planned[worker->report.life];
+        // Set aside until the whole gang is placed or given up.
+        worker->reserved += step.reserved();
+    }
+    for (const WorkerLife &life : places)
+        m_pool.find(life)->reserved -= step.reserved();
+    return places.size() == step.count;
+}
+
+PooledWorker *StartPlanner::choose(Instant now, const StepRef &ref, const Job &job,
+                                   const RackId *rack,
+                                   const std::map<WorkerLife, std::uint32_t> &planned)
+{
+    const StepSpec &step = job.spec.steps[ref.step];
+    const auto spread = m_spread.find(ref);
+    PooledWorker *best = nullptr;
+    std::int64_t bestCost = 0;
+    for (auto &[life, worker] : m_pool.all()) {
+        if (worker.report.pool != job.terms.pool || !WorkerPool::isUsable(worker, now)
+            || !mayRunOn(worker, step))
+            continue;
+        if (rack != nullptr && worker.report.rack != *rack)
+            continue;
+        if (step.mostPerWorker > 0) {
+            const auto more = planned.find(life);
+            std::uint32_t here = more == planned.end() ? 0 : more->second;
+            if (spread != m_spread.end() && spread->second.contains(life))
+                here += spread->second.at(life);
+            if (here >= step.mostPerWorker)
+                continue;
+        }
+        if (job.terms.advice.has_value() && m_advice.ticket(now, ref, life.worker) == nullptr)
+            continue;
+        const std::int64_t cost = m_choice->cost(worker, step);
+        if (best == nullptr || cost < bestCost) {
+            best = &worker;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::string StartPlanner::ticketOf(Instant now, const StepRef &ref, const Job &job,
+                                   const WorkerLife &life) const
+{
+    if (!job.terms.advice.has_value())
+        return {};
+    const std::string *const ticket = m_advice.ticket(now, ref, life.worker);
+    return ticket == nullptr ? std::string() : *ticket;
+}
+
+void StartPlanner::askAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out)
+{
+    if (!m_advice.mayAsk(now, ref))
+        return;
+    const StepSpec &step = job.spec.steps[ref.step];
+    std::vector<std::pair<std::int64_t, WorkerId>> candidates;
+    for (const auto &[life, worker] : m_pool.all()) {
+        if (worker.report.pool != job.terms.pool || !WorkerPool::isUsable(worker, now)
+            || m_advice.isBad(ref, life.worker)
+            || m_advice.ticket(now, ref, life.worker) != nullptr)
+            continue;
+        const std::vector<std::string> &labels = worker.report.labels;
+        if (!step.requiredLabel.empty()
+            && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
+            continue;
+        if (!step.reserved().fitsIn(worker.report.capacity))
+            continue;
+        const std::int64_t far
+                = !step.dataRack.empty() && worker.report.rack.value() != step.dataRack ? 1 : 0;
+        const std::int64_t unfit = mayRunOn(worker, step) ? 0 : 1;
+        constexpr std::int64_t Rank = 1'000'000'000;
+        candidates.emplace_back((far + unfit) * Rank - worker.room().cores.value(), life.worker);
+    }
+    if (candidates.empty())
+        return;
+    std::sort(candidates.begin(), candidates.end());
+    const std::size_t wanted
+            = std::clamp<std::size_t>(std::size_t(step.count) * 2, LeastAsked, MostAsked);
+    std::vector<WorkerId> workers;
+    for (const auto &[rank, worker] : candidates) {
+        if (workers.size() < wanted)
+            workers.push_back(worker);
+    }
+    m_advice.ask(now, ref, *job.terms.advice, std::move(workers), out);
+}
+
+bool StartPlanner::isWithinCap(const TeamId &team, const Resources &more) const
+{
+    if (!m_book.document.has_value())
+        return false;
+    const auto &teams = m_book.document->teams;
+    const auto config = std::find_if(teams.begin(), teams.end(),
+                                     [&team](const TeamConfig &each) { return each.team == team; });
+    if (config == teams.end())
+        return true;
+    Resources use = more;
+    const auto running = m_running.find(team);
+    if (running != m_running.end())
+        use += running->second;
+    return !exceeds(use.cores.value(), config->cap.cores.value())
+            && !exceeds(use.memory.value(), config->cap.memory.value())
+            && !exceeds(use.accelerators.value(), config->cap.accelerators.value());
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/start_planner.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "control/jobs/advice_desk.h"
+#include "control/jobs/job_book.h"
+#include "control/jobs/start_policy.h"
+#include "control/jobs/worker_pool.h"
+#include "control/outbox.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gentiancross {
+
+/** Takes the starts that were decided; each counts before the next is decided. */
+class StartSink
+{
+public:
+    StartSink() = default;
+    StartSink(const StartSink &) = delete;
+    StartSink &operator=(const StartSink &) = delete;
+    virtual ~StartSink() = default;
+
+    /** The task is to run on the worker; \a ticket is empty where none is needed. */
+    virtual void startDecided(const JobTaskRef &task, RunNumber run, const WorkerLife &worker,
+                              const std::string &ticket)
+            = 0;
+};
+
+/**
+ * Decides what starts where: which steps have their turn, within which caps, on which workers, and
+ * what the adviser is asked. Thread safety: owned by the control thread.
+ */
+class StartPlanner
+{
+public:
+    /** All must outlive this object. */
+    StartPlanner(const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
+                 std::unique_ptr<WorkerChoice> choice);
+
+    /** A run counts from its order to its end. */
+    void runOpened(const JobTaskRef &task, const Job &job, const WorkerLife &worker);
+    void runClosed(const JobTaskRef &task, const Job &job, const WorkerLife &worker);
+    /** Looks at the job's steps again. */
+    void jobChanged(const JobId &id, const Job &job);
+
+    /** Decides all that can start now. Questions to the adviser go to \a out. */
+    void plan(Instant now, StartSink &sink, Outbox &out);
+
+private:
+    void planStep(Instant now, const ReadyStep &ready, StartSink &sink, Outbox &out);
+    void planTasks(Instant now, const StepRef &ref, const Job &job, StartSink &sink);
+    void planGang(Instant now, const StepRef &ref, const Job &job, StartSink &sink);
+    bool placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
+                   std::vector<WorkerLife> &places);
+    void askAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out);
+    [[nodiscard]] PooledWorker *choose(Instant now, const StepRef &ref, const Job &job,
+                                       const RackId *rack,
+                                       const std::map<WorkerLife, std::uint32_t> &planned);
+    [[nodiscard]] bool isWithinCap(const TeamId &team, const Resources &more) const;
+    [[nodiscard]] std::string ticketOf(Instant now, const StepRef &ref, const Job &job,
+                                       const WorkerLife &life) const;
+
+    const JobBookData &m_book;
+    WorkerPool &m_pool;
+    AdviceDesk &m_advice;
+    std::unique_ptr<WorkerChoice> m_choice;
+    std::map<TeamId, Resources> m_running;
+    std::set<ReadyStep> m_ready;
+    std::map<JobId, std::vector<ReadyStep>> m_readyOf;
+    /** How many tasks of a step each worker runs. */
+    std::map<StepRef, std::map<WorkerLife, std::uint32_t>> m_spread;
+    /** Cores that steps ahead in the order wait for, and how many are worth asking about. */
+    MilliCores m_waitingCores;
+    MilliCores m_worthAsking;
+};
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/worker_pool.cpp
@@ -0,0 +1,91 @@
+#include "control/jobs/worker_pool.h"
+
+#include <algorithm>
+
+namespace gentiancross {
+
+namespace {
+
+/** Beats come every 1.5 s; two missed ones in a row, and no new work goes to the worker. */
+constexpr Milliseconds BeatAge{3500};
+/** A worker's clock may be slow by this many parts of a thousand. */
+constexpr std::int64_t SlowestClockPermille = 980;
+/** Covers rounding to milliseconds on both clocks. */
+constexpr std::int64_t ClockMargin = 50;
+/** A former leader may have granted leases for this long after its last contact with a quorum. */
+constexpr Milliseconds FormerLeaderMargin{1500};
+
+} // namespace
+
+PooledWorker &WorkerPool::put(Instant now, const WorkerReport &report)
+{
+    const auto [found, isNew] = m_workers.try_emplace(report.life);
+    PooledWorker &worker = found->second;
+    worker.report = report;
+    if (isNew)
+        worker.lastBeat = now;
+    return worker;
+}
+
+PooledWorker *WorkerPool::find(const WorkerLife &life)
+{
+    const auto found = m_workers.find(life);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+void WorkerPool::open(PooledWorker &worker, const JobTaskRef &task, OpenRun run)
+{
+    worker.reserved += run.reserved;
+    worker.tailTargets += run.hasTailTarget ? 1 : 0;
+    if (run.isBestEffort)
+        worker.bestEffortCores += run.full.cores;
+    worker.runs.insert_or_assign(task, std::move(run));
+}
+
+void WorkerPool::close(PooledWorker &worker, const JobTaskRef &task)
+{
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end())
+        return;
+    worker.reserved -= found->second.reserved;
+    worker.tailTargets -= found->second.hasTailTarget ? 1 : 0;
+    if (found->second.isBestEffort)
+        worker.bestEffortCores -= found->second.full.cores;
+    worker.runs.erase(found);
+}
+
+void WorkerPool::tellClock(PooledWorker &worker, Instant now, std::int64_t clock)
+{
+    worker.clock = clock;
+    worker.clockAt = now;
+}
+
+std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now)
+{
+    if (!worker.clock.has_value())
+        return std::nullopt;
+    const std::int64_t until = *worker.clock + (now - worker.clockAt).value() + LeaseLength.value();
+    worker.grantedUntil = std::max(worker.grantedUntil, until);
+    return worker.grantedUntil;
+}
+
+bool WorkerPool::isLapsed(const PooledWorker &worker, Instant now) const
+{
+    const std::int64_t inherited
+            = (LeaseLength + FormerLeaderMargin).value() * 1000 / SlowestClockPermille;
+    if ((now - m_takenOver).value() < inherited)
+        return false;
+    if (worker.grantedUntil == 0)
+        return true;
+    const std::int64_t least = *worker.clock
+            + (now - worker.clockAt).value() * SlowestClockPermille / 1000 - ClockMargin;
+    return least > worker.grantedUntil;
+}
+
+bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
+{
+    return !worker.report.isDraining && !worker.isFailing && worker.clock.has_value()
+            && now - worker.lastBeat < BeatAge && now >= worker.avoidUntil;
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/worker_pool.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/job_calls.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace gentiancross {
+
+/** What a leader knows of a run that may be at work. */
+struct OpenRun
+{
+    RunNumber run;
+    Resources reserved;
+    /** What it counts against its team's cap and against best-effort room. */
+    Resources full;
+    bool hasTailTarget = false;
+    bool isBestEffort = false;
+    /** Its order is durable and was sent, by this leader or an earlier one. */
+    bool wasSent = false;
+    /** The worker has answered an order about it, so a list without it is proof that it ended. */
+    bool isSettled = false;
+    /** A copy of the start may still be under way. */
+    bool mayArriveLate = false;
+    bool isCallInFlight = false;
+    bool isStopping = false;
+    Instant nextAttempt;
+    std::string ticket;
+    /** The newest checkpoint that the worker has listed. */
+    std::string checkpoint;
+};
+
+/** A life of a worker as its leader sees it. */
+struct PooledWorker
+{
+    WorkerReport report;
+    Resources reserved;
+    /** Cores that best-effort runs would use. */
+    MilliCores bestEffortCores;
+    std::uint32_t tailTargets = 0;
+    std::map<JobTaskRef, OpenRun> runs;
+    Instant lastBeat;
+    std::uint64_t lastSequence = 0;
+    /** The worker's clock as of `clockAt` on this host's. */
+    std::optional<std::int64_t> clock;
+    Instant clockAt;
+    /** The latest lease end that this leader has granted, on the worker's clock. */
+    std::int64_t grantedUntil = 0;
+    EndNumber recorded;
+    EndNumber noted;
+    bool isHoldInFlight = false;
+    Instant nextHold;
+    /** True from a call without an answer to the next answer. */
+    bool isFailing = false;
+    /** Failed runs since the last that was done. */
+    std::uint32_t failuresInRow = 0;
+    Instant avoidUntil;
+
+    [[nodiscard]] Resources room() const
+    {
+        Resources room = report.capacity;
+        room -= reserved;
+        return room;
+    }
+};
+
+/** The workers of a cell and what runs on them. Thread safety: owned by the control thread. */
+class WorkerPool
+{
+public:
+    /** How long a worker may go on without word from its leader. It outlasts a change of leaders
+     * and is below the least bound that workers set. */
+    static constexpr Milliseconds LeaseLength{6000};
+
+    explicit WorkerPool(Instant takenOver)
+        : m_takenOver(takenOver)
+    {}
+
+    /** Adds a life or takes its new report. */
+    PooledWorker &put(Instant now, const WorkerReport &report);
+    void remove(const WorkerLife &life) { m_workers.erase(life); }
+    [[nodiscard]] PooledWorker *find(const WorkerLife &life);
+    [[nodiscard]] std::map<WorkerLife, PooledWorker> &all() { return m_workers; }
+
+    static void open(PooledWorker &worker, const JobTaskRef &task, OpenRun run);
+    static void close(PooledWorker &worker, const JobTaskRef &task);
+
+    /** Takes the worker's clock in, as told at \a now. */
+    static void tellClock(PooledWorker &worker, Instant now, std::int64_t clock);
+    /** The end of a lease granted now, on the worker's clock; nothing if its clock is not known. */
+    static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now);
+    /** True if whatever ran on the worker when it last heard of a leader has certainly ended. */
+    [[nodiscard]] bool isLapsed(const PooledWorker &worker, Instant now) const;
+    /** True if new runs may be ordered there. */
+    [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
+
+private:
+    Instant m_takenOver;
+    std::map<WorkerLife, PooledWorker> m_workers;
+};
+
+} // namespace gentiancross
--- a/control/replication_progress.cpp
+++ b/control/replication_progress.cpp
@@ -30,6 +30,15 @@
     }
 }
 
+void ReplicationProgress::add(const HostId &host, Instant now, LogIndex next)
+{
+    const auto [found, isNew] = m_hosts.try_emplace(host);
+    if (!isNew)
+        return;
+    found->second.next = next;
+    found->second.lastReply = now;
+}
+
 FollowerProgress *ReplicationProgress::answered(Instant now, const HostId &from,
                                                 const AppendReply &reply)
 {
@@ -38,8 +47,12 @@
         return nullptr;
     FollowerProgress &progress = found->second;
     // Another store under the same host's name holds nothing that the former one acknowledged.
-    if (progress.replica.has_value() && *progress.replica != reply.replica)
-        progress = FollowerProgress{{}, progress.next, {}, {}, {}, progress.lastSent};
+    if (progress.replica.has_value() && *progress.replica != reply.replica) {
+        FollowerProgress fresh;
+        fresh.next = progress.next;
+        fresh.lastSent = progress.lastSent;
+        progress = std::move(fresh);
+    }
     progress.replica = reply.replica;
     progress.answeredSentAt = std::max(progress.answeredSentAt, reply.sentAt);
     if (!progress.asked.has_value()) {
@@ -59,11 +72,11 @@
     return &progress;
 }
 
-std::vector<HostId> ReplicationProgress::dueHosts(Instant now, LogIndex last) const
+std::vector<HostId> ReplicationProgress::dueHosts(Instant now, LogIndex last, LogIndex commit) const
 {
     std::vector<HostId> due;
     for (const auto &[host, progress] : m_hosts) {
-        const bool hasNews = progress.next <= last;
+        const bool hasNews = progress.next <= last || progress.toldCommit < commit;
         const bool isLost = progress.inFlight && now - progress.lastSent >= ResendAfter;
         const bool isHeartbeatDue = now - progress.lastSent >= HeartbeatInterval;
         if (isLost || (!progress.inFlight && (hasNews || isHeartbeatDue)))
--- a/control/replication_progress.h
+++ b/control/replication_progress.h
@@ -21,6 +21,8 @@
     Instant lastReply;
     Instant lastSent;
     bool inFlight = false;
+    /** The commit index that the last message told. */
+    LogIndex toldCommit;
     /** When the newest message that it has answered was sent. */
     Instant answeredSentAt;
     /** The host's own time when it asked, and this host's when that came, until it is confirmed. */
@@ -41,13 +43,15 @@
 
     /** Forgets all; a new leader sends entries from \a next on. */
     void restart(Instant now, LogIndex next);
+    /** Follows another host; does nothing if it is followed already. */
+    void add(const HostId &host, Instant now, LogIndex next);
     /** Takes an answer in; returns null if the host is not known. */
     FollowerProgress *answered(Instant now, const HostId &from, const AppendReply &reply);
     /** Precondition: the host is known. */
     FollowerProgress &at(const HostId &host) { return m_hosts.at(host); }
 
     /** The hosts that are to be sent something now: news, a repetition or a heartbeat. */
-    [[nodiscard]] std::vector<HostId> dueHosts(Instant now, LogIndex last) const;
+    [[nodiscard]] std::vector<HostId> dueHosts(Instant now, LogIndex last, LogIndex commit) const;
     [[nodiscard]] std::vector<HostId> allHosts() const;
     /** The stores that hold the entry durably. */
     [[nodiscard]] std::set<ReplicaId> holdersOf(LogIndex index) const;
--- a/control/root.h
+++ b/control/root.h
@@ -7,6 +7,7 @@
 #include "control/mirror_keeper.h"
 #include "control/outbox.h"
 #include "control/proposer.h"
+#include "control/reducer.h"
 #include "control/reporter.h"
 #include "control/timeline.h"
 
@@ -37,13 +38,13 @@
  * returns what is to be done. Does no input or output, reads no clock, draws its randomness from
  * the seed; the same events give the same effects. Thread safety: owned by the control thread.
  */
-class Root final : private CellFinder
+class Root final : public Reducer, private CellFinder
 {
 public:
     explicit Root(RootOptions options);
 
     /** Takes one event in and returns its effects. Precondition: Recovered comes first, once. */
-    Effects reduce(const Event &event);
+    Effects reduce(const Event &event) override;
 
 private:
     void handle(const Ticked &event);
@@ -62,6 +63,10 @@
     void handle(const ForwardEnded &event);
     void handle(const ExchangeClosed &event);
     void handle(const ShutdownRequested &event);
+    /** Events of a cell's own kind; a host that runs this reducer causes none. */
+    template <typename Payload>
+    void handle(const Payload &)
+    {}
 
     void handlePeer(const HostId &from, const Propose &message);
     void handlePeer(const HostId &from, const MirrorReply &message);
@@ -70,6 +75,13 @@
     void handlePeer(const HostId &from, const HandOver &message);
     void handlePeer(const HostId &from, const LedgerAsk &message);
     void handlePeer(const HostId &from, const LedgerTold &message);
+    /** Messages of cells, which no host of this kind sends. */
+    void handlePeer(const HostId &, const LeaderAsk &) {}
+    void handlePeer(const HostId &, const LeaderTold &) {}
+    void handlePeer(const HostId &, const CallRelayed &) {}
+    void handlePeer(const HostId &, const CallAnswered &) {}
+    void handlePeer(const HostId &, const AdviceAsk &) {}
+    void handlePeer(const HostId &, const AdviceTold &) {}
     template <typename Message>
     void handlePeer(const HostId &from, const Message &message);
 
--- a/core/agreed_commands.h
+++ b/core/agreed_commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/job_records.h"
 #include "core/ledger.h"
 #include "core/units.h"
 
@@ -132,7 +133,7 @@
 };
 
 using AgreedCommand = std::variant<PutTeam, GrantKey, WithdrawKey, TakeAuthority, SetInSync,
-                                   MoveAllotment, DeclareAuthorityLost, SetWaitLimit>;
+                                   MoveAllotment, DeclareAuthorityLost, SetWaitLimit, JobChanges>;
 
 /** An entry that has no effect but to commit earlier terms' entries. */
 struct NoOperation
--- a/core/agreed_data.h
+++ b/core/agreed_data.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/job_records.h"
 #include "core/ledger.h"
 #include "core/units.h"
 
@@ -143,12 +144,14 @@
     ResultHistory internalResults;
     /** What counts as a wait that is too long, where operators have set it. */
     std::map<WorkClass, Milliseconds> waitLimits;
+    /** Configuration, jobs and workers of a cell that keeps them in the log itself. */
+    JobBookData jobs;
 
     template <typename Self>
     static auto fields(Self &self)
     {
         return std::tie(self.teams, self.authorities, self.operatorResults, self.internalResults,
-                        self.waitLimits);
+                        self.waitLimits, self.jobs);
     }
 };
 
--- a/core/effects.h
+++ b/core/effects.h
@@ -213,11 +213,33 @@
     std::string what;
 };
 
+/** Answers a call from outside to the cell. */
+struct AnswerCall
+{
+    ExchangeId exchange;
+    CallAnswer answer;
+};
+
+/** Sends an order to a worker, unless `validUntil` has passed on this host's clock. */
+struct CallWorker
+{
+    CallId call;
+    std::string address;
+    WorkerLife life;
+    Fence fence;
+    /** On the worker's clock: everything that runs there may run until then. */
+    std::int64_t leaseUntil = 0;
+    std::variant<OrderStart, OrderStop, OrderHold> order;
+    Instant validUntil;
+    Milliseconds timeout;
+};
+
 /** The process may end now. */
 struct Exit
 {};
 
-using Effect = std::variant<Reply, ForwardExchange, SendToPeer, StartTask, Persist, LogLine, Exit>;
+using Effect = std::variant<Reply, ForwardExchange, SendToPeer, StartTask, Persist, LogLine, Exit,
+                            AnswerCall, CallWorker, AdviceAsk>;
 using Effects = std::vector<Effect>;
 
 } // namespace gentiancross
--- a/core/events.h
+++ b/core/events.h
@@ -157,10 +157,26 @@
 struct ShutdownRequested
 {};
 
+/** The settings name these hosts as keepers to begin with. */
+struct SeedsRead
+{
+    std::vector<HostId> seeds;
+};
+
+/** A call from outside to the cell. */
+struct CellCallReceived
+{
+    ExchangeId exchange;
+    CellCall call;
+    /** The caller waits no longer than this. */
+    Milliseconds patience;
+};
+
 using EventPayload = std::variant<Ticked, Recovered, Synced, PeerMessageReceived, SubmitReceived,
                                   StatusReceived, CancelReceived, AnnouncementReceived,
                                   OperatorChangeReceived, QueryReceived, PageAsked, ReadinessAsked,
-                                  CallEnded, ForwardEnded, ExchangeClosed, ShutdownRequested>;
+                                  CallEnded, ForwardEnded, ExchangeClosed, ShutdownRequested,
+                                  CellCallReceived, WorkerAnswer, AdviceTold, SeedsRead>;
 
 /** One thing that happened, and when; the only input of the reducers. */
 struct Event
--- /dev/null
+++ b/core/job_calls.h
@@ -0,0 +1,353 @@
+#pragma once
+
+#include "core/job_records.h"
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <variant>
+
+namespace gentiancross {
+
+/** Why a call was not carried out. */
+enum class Refusal {
+    /** No queue serves this address. */
+    NoSuchQueue,
+    /** The key is missing or unknown. */
+    UnknownKey,
+    /** The call can't be read or asks for something impossible. */
+    Malformed,
+    /** There is no such job, or it is too long ago. */
+    NoSuchJob,
+    /** Nobody can decide at present; the call had no effect. */
+    NotNow,
+    /** The answer is not known: the call may have had its effect. */
+    Unknown,
+    /** The method does not exist here. */
+    NoSuchCall,
+};
+
+enum class JobVerb { Submit, Look, Cancel };
+
+/** A caller's call; the queue is found by the newest configuration. */
+struct JobCall
+{
+    JobVerb verb = JobVerb::Look;
+    std::string host;
+    std::string path;
+    std::optional<ApiKey> key;
+    /** For Submit; empty if it could not be read. */
+    std::optional<JobSpec> spec;
+    /** Why the body could not be read. */
+    std::string defect;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.verb, self.host, self.path, self.key, self.spec, self.defect);
+    }
+};
+
+/** An operator's new configuration. */
+struct PutDocument
+{
+    /** Empty if it could not be read in full. */
+    std::optional<ConfigDocument> document;
+    std::string defect;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.document, self.defect);
+    }
+};
+
+struct GetDocument
+{
+    template <typename Self>
+    static auto fields(Self &)
+    {
+        return std::tuple<>();
+    }
+};
+
+/** A worker's heartbeat. */
+struct WorkerBeat
+{
+    WorkerReport report;
+    /** The worker's monotonic clock. */
+    std::int64_t clock = 0;
+    /** Grows with each beat of one life, so that a late one can be told. */
+    std::uint64_t sequence = 0;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.report, self.clock, self.sequence);
+    }
+};
+
+/** A worker says that it ends now. */
+struct WorkerLeave
+{
+    WorkerId worker;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.worker);
+    }
+};
+
+/** A call from outside that only the cell's leader decides. */
+using CellCall = std::variant<JobCall, PutDocument, GetDocument, WorkerBeat, WorkerLeave>;
+
+struct CallRefused
+{
+    Refusal refusal = Refusal::NotNow;
+    std::string reason;
+    /** When it is worth asking again; 0 if that is not known. */
+    Milliseconds retryAfter;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.refusal, self.reason, self.retryAfter);
+    }
+};
+
+struct CallDone
+{
+    template <typename Self>
+    static auto fields(Self &)
+    {
+        return std::tuple<>();
+    }
+};
+
+struct JobShown
+{
+    JobState state = JobState::Queued;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.state);
+    }
+};
+
+struct QueueShown
+{
+    /** Accepted jobs of which no task has started. */
+    std::uint64_t waiting = 0;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.waiting);
+    }
+};
+
+struct DocumentShown
+{
+    std::string source;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.source);
+    }
+};
+
+/** A beat was taken in; the worker does best to send the next ones to `beatAddress`. */
+struct BeatTaken
+{
+    std::string beatAddress;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.beatAddress);
+    }
+};
+
+using CallAnswer
+        = std::variant<CallRefused, CallDone, JobShown, QueueShown, DocumentShown, BeatTaken>;
+
+/** Asks a host whether it leads, or who does. */
+struct LeaderAsk
+{
+    /** True if the sender keeps the cell's log on a disk. */
+    bool isKeeper = false;
+    /** True if the sender can call the adviser for the leader. */
+    bool callsAdviser = false;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.isKeeper, self.callsAdviser);
+    }
+};
+
+struct LeaderTold
+{
+    std::optional<HostId> leader;
+    /** True if the sender itself decides at present. */
+    bool decides = false;
+    std::vector<HostId> keepers;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.leader, self.decides, self.keepers);
+    }
+};
+
+/** Passes a call on to the leader. */
+struct CallRelayed
+{
+    ExchangeId exchange;
+    CellCall call;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.exchange, self.call);
+    }
+};
+
+struct CallAnswered
+{
+    ExchangeId exchange;
+    CallAnswer answer;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.exchange, self.answer);
+    }
+};
+
+/** Which of these workers may run the step? */
+struct AdviceAsk
+{
+    AskId ask;
+    StepRef step;
+    std::vector<WorkerId> workers;
+    Milliseconds timeout;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.ask, self.step, self.workers, self.timeout);
+    }
+};
+
+struct Ticket
+{
+    WorkerId worker;
+    std::string ticket;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.worker, self.ticket);
+    }
+};
+
+struct AdviceTold
+{
+    AskId ask;
+    /** False if the adviser gave no answer; then nothing is known. */
+    bool answered = false;
+    std::vector<Ticket> good;
+    Milliseconds validity;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.ask, self.answered, self.good, self.validity);
+    }
+};
+
+/** Orders a worker to start a run. */
+struct OrderStart
+{
+    JobTaskRef task;
+    RunNumber run;
+    std::shared_ptr<const std::string> payload;
+    std::string checkpoint;
+    std::string ticket;
+};
+
+/** Orders a worker to stop a run. */
+struct OrderStop
+{
+    JobTaskRef task;
+    RunNumber run;
+};
+
+/** Extends the lease of all that runs on a worker and asks what runs and what has ended. */
+struct OrderHold
+{
+    /** Ends up to here are durable and may be forgotten. */
+    EndNumber noted;
+    /** How long the worker may wait for an end before it answers. */
+    Milliseconds wait;
+};
+
+/** A run that a worker says is at work. */
+struct RunListed
+{
+    JobTaskRef task;
+    RunNumber run;
+    std::string checkpoint;
+    std::int64_t percent = 0;
+    /** Tail of response times in ms of a lasting task with a target, else thousandths of a core. */
+    std::int64_t figure = 0;
+};
+
+struct EndListed
+{
+    EndNumber number;
+    JobTaskRef task;
+    RunNumber run;
+    RunEnding ending = RunEnding::Lost;
+    std::string checkpoint;
+};
+
+/** What a worker answered to an order. */
+enum class WorkerVerdict {
+    Done,
+    /** A higher fence has been seen there. */
+    Fenced,
+    /** The run is not higher than one that was stopped or has ended there. */
+    Superseded,
+    /** The order came after its lease's end. */
+    Late,
+    NoRoom,
+    /** The ticket is missing or no longer valid. */
+    NoTicket,
+    /** Refused for another reason; nothing was done. */
+    Refused,
+    /** Another life answers at the address. */
+    OtherLife,
+    /** Nothing can be said: the order may be carried out. */
+    NoAnswer,
+};
+
+/** The answer to any order. */
+struct WorkerAnswer
+{
+    CallId call;
+    WorkerVerdict verdict = WorkerVerdict::NoAnswer;
+    /** The worker's clock; absent if it told none. */
+    std::optional<std::int64_t> clock;
+    /** When the life that answered began, where the answer says so. */
+    std::optional<Milliseconds> born;
+    std::vector<RunListed> running;
+    std::vector<EndListed> ended;
+    std::string error;
+};
+
+} // namespace gentiancross
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/job_calls.h"
 #include "core/journal_records.h"
 
 #include <cstdint>
@@ -226,6 +227,7 @@
 
 using PeerMessage = std::variant<Hello, VoteRequest, VoteReply, AppendRequest, AppendReply,
                                  InstallSnapshot, Propose, MirrorAppend, MirrorReply, HandOver,
-                                 LedgerAsk, LedgerTold, MirrorLease>;
+                                 LedgerAsk, LedgerTold, MirrorLease, LeaderAsk, LeaderTold,
+                                 CallRelayed, CallAnswered, AdviceAsk, AdviceTold>;
 
 } // namespace gentiancross
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -35,9 +35,10 @@
 class HttpClient::Implementation final : public ACE_Task_Base
 {
 public:
-    Implementation()
+    explicit Implementation(long mostPerPeer)
         : m_multi(curl_multi_init())
     {
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, mostPerPeer);
         curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MostIdleConnections);
         activate();
     }
@@ -250,8 +251,8 @@
     return result;
 }
 
-HttpClient::HttpClient()
-    : m_implementation(std::make_unique<Implementation>())
+HttpClient::HttpClient(long mostPerPeer)
+    : m_implementation(std::make_unique<Implementation>(mostPerPeer))
 {}
 
 HttpClient::~HttpClient() = default;
--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -29,12 +29,13 @@
 
 } // namespace
 
-void startLog(LogFormat format, const std::string &host)
+void startLog(LogFormat format, const std::string &host, LogStream stream)
 {
     currentFormat = format;
     currentHost = host;
     log4cplus::initialize();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(
+            new log4cplus::ConsoleAppender(stream == LogStream::StandardError, true));
     const char *const pattern = format == LogFormat::Text
             ? "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"
             : "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%q}\",\"level\":\"%p\",\"event\":%m}%n";
--- a/drivers/log.h
+++ b/drivers/log.h
@@ -7,8 +7,12 @@
 /** How log lines are written. */
 enum class LogFormat { Text, Json };
 
-/** Starts logging to standard error, through log4cplus. Call once, before other threads start. */
-void startLog(LogFormat format, const std::string &host);
+/** Where log lines go. */
+enum class LogStream { StandardError, StandardOutput };
+
+/** Starts logging, through log4cplus. Call once, before other threads start. */
+void startLog(LogFormat format, const std::string &host,
+              LogStream stream = LogStream::StandardError);
 
 /** Writes one line. Thread safety: any thread. */
 void logInfo(const std::string &subject, const std::string &what);
--- a/drivers/system_clock.cpp
+++ b/drivers/system_clock.cpp
@@ -15,7 +15,8 @@
 Instant SystemClock::now() const
 {
     timespec time = {};
-    ACE_OS::clock_gettime(CLOCK_MONOTONIC, &time);
+    // Counts the time that the host was suspended, which leases must not outlive.
+    ACE_OS::clock_gettime(CLOCK_BOOTTIME, &time);
     return Instant(time.tv_sec * MillisecondsPerSecond + time.tv_nsec / NanosecondsPerMillisecond);
 }
 
--- /dev/null
+++ b/main/cell_command.cpp
@@ -0,0 +1,54 @@
+#include "main/cell_command.h"
+
+#include "core/error.h"
+#include "main/arguments.h"
+#include "main/cell_host.h"
+
+#include <iostream>
+
+namespace gentiancross {
+
+namespace {
+
+constexpr std::size_t LeastSecret = 8;
+
+absl::StatusOr<CellSettings> readSettings(const std::vector<std::string> &words)
+{
+    Arguments arguments("cell", "runs a host of a cell on a platform");
+    const std::string &path = arguments.text("boot", "The platform's settings file");
+    absl::Status status = arguments.parse(words);
+    if (!status.ok())
+        return status;
+    CellSettings settings;
+    settings.bootPath = path;
+    settings.fleetSecret = fromEnvironment("GENTIANCROSS_FLEET_SECRET");
+    if (settings.fleetSecret.size() < LeastSecret)
+        return makeError(absl::StatusCode::kInvalidArgument, Step::Settings, "",
+                         "GENTIANCROSS_FLEET_SECRET must hold 8 characters or more");
+    absl::StatusOr<platform::BootFile> boot = platform::readBootFile(path);
+    if (!boot.ok())
+        return boot.status();
+    settings.boot = *std::move(boot);
+    return settings;
+}
+
+ExitCode reportError(const absl::Status &status)
+{
+    if (absl::IsCancelled(status))
+        return ExitCode::Success;
+    std::cerr << "gentiancross: " << describeError(status) << '\n';
+    return ExitCode::BadSettings;
+}
+
+} // namespace
+
+ExitCode CellCommand::run(const std::vector<std::string> &words)
+{
+    const absl::StatusOr<CellSettings> settings = readSettings(words);
+    if (!settings.ok())
+        return reportError(settings.status());
+    const absl::Status status = runCellHost(*settings);
+    return status.ok() ? ExitCode::Success : reportError(status);
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/main/cell_command.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "main/command.h"
+
+namespace gentiancross {
+
+/** Runs a host of a cell on the platform whose settings file it is given. */
+class CellCommand final : public Command
+{
+public:
+    [[nodiscard]] std::string name() const override { return "cell"; }
+    [[nodiscard]] std::string summary() const override
+    {
+        return "runs a host of a cell on a platform";
+    }
+    ExitCode run(const std::vector<std::string> &words) override;
+};
+
+} // namespace gentiancross
--- /dev/null
+++ b/main/cell_host.cpp
@@ -0,0 +1,226 @@
+#include "main/cell_host.h"
+
+#include "control/jobs/cell_root.h"
+#include "core/error.h"
+#include "drivers/http_client.h"
+#include "drivers/journal_file.h"
+#include "drivers/log.h"
+#include "drivers/random.h"
+#include "drivers/system_clock.h"
+#include "platform/cell_front.h"
+#include "platform/worker_caller.h"
+#include "servers/control_server.h"
+#include "servers/effect_router.h"
+#include "servers/journal_server.h"
+#include "servers/log_server.h"
+#include "servers/metrics.h"
+#include "servers/peer_link.h"
+#include "servers/peer_listener.h"
+
+#include <absl/strings/str_cat.h>
+#include <ace/Event_Handler.h>
+#include <ace/OS_NS_sys_stat.h>
+#include <ace/Reactor.h>
+#include <ace/Sig_Handler.h>
+#include <ace/Signal.h>
+
+#include <csignal>
+#include <cstdlib>
+
+namespace gentiancross {
+
+namespace {
+
+constexpr long TickMicroseconds = 50'000;
+/** One for the call that waits for ends and some for orders; new ones are dear for workers. */
+constexpr long MostConnectionsPerWorker = 4;
+/** The settings file may change without a signal, so it is looked at once a second. */
+constexpr int TicksPerLook = 20;
+
+HostId hostAt(const std::string &ip, const platform::BootFile &boot)
+{
+    return HostId(absl::StrCat(ip, ":", boot.firstPort));
+}
+
+std::vector<HostId> seedsOf(const platform::BootFile &boot)
+{
+    std::vector<HostId> seeds;
+    for (const platform::SocketAddress &seed : boot.seeds)
+        seeds.push_back(hostAt(seed.ip, boot));
+    return seeds;
+}
+
+/** Turns the reactor's timer and signals, and changes of the settings file, into events. */
+class Pulse final : public ACE_Event_Handler
+{
+public:
+    Pulse(ACE_Reactor &reactor, EventSink &events, platform::CellFront &front, std::string bootPath)
+        : ACE_Event_Handler(&reactor)
+        , m_events(events)
+        , m_front(front)
+        , m_bootPath(std::move(bootPath))
+        , m_changedAt(changeTime())
+    {}
+
+    int handle_timeout(const ACE_Time_Value &, const void *) override
+    {
+        m_events.post(Ticked{});
+        if (++m_ticks % TicksPerLook == 0 && changeTime() != m_changedAt)
+            readAgain();
+        return 0;
+    }
+
+    int handle_signal(int signal, siginfo_t *, ucontext_t *) override
+    {
+        // The reactor calls this between its waits, not inside the signal.
+        if (signal == SIGHUP) {
+            readAgain();
+            return 0;
+        }
+        m_front.startDraining();
+        m_events.post(ShutdownRequested{});
+        return 0;
+    }
+
+private:
+    [[nodiscard]] std::pair<time_t, long> changeTime() const
+    {
+        ACE_stat status;
+        if (ACE_OS::stat(m_bootPath.c_str(), &status) != 0)
+            return {};
+        return {status.st_mtim.tv_sec, status.st_mtim.tv_nsec};
+    }
+
+    void readAgain()
+    {
+        m_changedAt = changeTime();
+        const absl::StatusOr<platform::BootFile> boot = platform::readBootFile(m_bootPath);
+        if (boot.ok())
+            m_events.post(SeedsRead{seedsOf(*boot)});
+        else
+            logWarning("reload", describeError(boot.status()));
+    }
+
+    EventSink &m_events;
+    platform::CellFront &m_front;
+    std::string m_bootPath;
+    std::pair<time_t, long> m_changedAt;
+    int m_ticks = 0;
+};
+
+struct Beginning
+{
+    Identity identity;
+    Recovered recovered;
+};
+
+absl::StatusOr<Beginning> openStore(const platform::BootFile &boot, JournalFile &journal)
+{
+    Beginning beginning;
+    const HostId self = hostAt(boot.ip, boot);
+    beginning.identity.session = SessionId(self.value() + '.' + uniqueName());
+    if (boot.dataFolder.empty()) {
+        beginning.identity.replica = makeReplica(self, false, uniqueName());
+        return beginning;
+    }
+    absl::StatusOr<std::vector<JournalRecord>> records = journal.open(boot.dataFolder);
+    if (!records.ok())
+        return records.status();
+    absl::StatusOr<std::string> name = journal.storeName();
+    if (!name.ok())
+        return name.status();
+    beginning.identity.replica = makeReplica(self, true, *name);
+    beginning.recovered.fresh = records->empty();
+    beginning.recovered.records = *std::move(records);
+    return beginning;
+}
+
+CellOptions cellOptions(const platform::BootFile &boot, const Identity &identity)
+{
+    CellOptions options;
+    const HostId self = hostAt(boot.ip, boot);
+    options.identity = identity;
+    options.isKeeper = !boot.dataFolder.empty();
+    options.seeds = seedsOf(boot);
+    options.callsAdviser = !boot.adviser.empty();
+    options.beatAddress = boot.control;
+    options.voters = 2 * std::size_t(boot.lossesBorne) + 1;
+    options.seed = randomSeed();
+    options.directory.self = self;
+    options.directory.hosts.emplace(
+            self, HostInfo{self, DataCentreId(boot.dataCentre), options.isKeeper});
+    for (const HostId &seed : options.seeds)
+        options.directory.hosts.try_emplace(seed, HostInfo{seed, DataCentreId(), true});
+    if (boot.isFirstStart)
+        options.directory.initialVoters = options.seeds;
+    return options;
+}
+
+[[noreturn]] void endAfterDiskFailure(const absl::Status &status)
+{
+    logWarning("journal", describeError(status));
+    // Nothing more can be promised; the other keepers go on without this one.
+    std::_Exit(EXIT_FAILURE);
+}
+
+} // namespace
+
+absl::Status runCellHost(const CellSettings &settings)
+{
+    const platform::BootFile &boot = settings.boot;
+    startLog(LogFormat::Json, boot.node, LogStream::StandardOutput);
+    JournalFile journal;
+    absl::StatusOr<Beginning> beginning = openStore(boot, journal);
+    if (!beginning.ok())
+        return beginning.status();
+
+    const SystemClock clock;
+    CellRoot root(cellOptions(boot, beginning->identity));
+    ControlServer control(root, clock);
+    Metrics metrics;
+    JournalServer journalServer(journal, control, metrics, &endAfterDiskFailure);
+    LogServer log;
+    HttpClient client(MostConnectionsPerWorker);
+    PeerLink peers({hostAt(boot.ip, boot), {}, settings.fleetSecret, true}, control);
+    PeerListener peerListener(peers, settings.fleetSecret);
+    platform::WorkerCaller workers(client, clock, control, boot.adviser);
+    platform::CellFront front(boot, clock, control, metrics);
+    ACE_Reactor reactor;
+    Pulse pulse(reactor, control, front, settings.bootPath);
+    EffectRouter router({front, peers, workers, boot.dataFolder.empty() ? nullptr : &journalServer,
+                         [&reactor] { reactor.end_reactor_event_loop(); }, &workers, &log});
+    control.setEffectHandler(&router);
+
+    ACE_Sig_Set signals;
+    signals.sig_add(SIGTERM);
+    signals.sig_add(SIGINT);
+    signals.sig_add(SIGHUP);
+    reactor.register_handler(signals, &pulse);
+    const ACE_Time_Value interval(0, TickMicroseconds);
+    reactor.schedule_timer(&pulse, nullptr, interval, interval);
+
+    control.post(std::move(beginning->recovered));
+    log.start();
+    journalServer.start();
+    peers.start();
+    control.start();
+    absl::Status status = peerListener.start(boot.ip, boot.firstPort);
+    if (status.ok())
+        status = front.start();
+    if (status.ok()) {
+        logInfo("start", absl::StrCat("serving as ", beginning->identity.replica.value()));
+        reactor.run_reactor_event_loop();
+    }
+    reactor.cancel_timer(&pulse);
+    front.stop();
+    control.stop();
+    peerListener.stop();
+    client.stop();
+    peers.stop();
+    journalServer.stop();
+    log.stop();
+    logInfo("stop", "ended");
+    return status;
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/main/cell_host.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "platform/boot_file.h"
+
+#include <absl/status/status.h>
+
+#include <string>
+
+namespace gentiancross {
+
+/** The checked settings of a host of a cell. */
+struct CellSettings
+{
+    /** Path of the platform's settings file; it is read again when it changes. */
+    std::string bootPath;
+    platform::BootFile boot;
+    std::string fleetSecret;
+};
+
+/** Runs a host of a cell until it is told to end. Errors of the addresses and of the disk. */
+absl::Status runCellHost(const CellSettings &settings);
+
+} // namespace gentiancross
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,3 +1,4 @@
+#include "main/cell_command.h"
 #include "main/client_commands.h"
 #include "main/command.h"
 #include "main/report_command.h"
@@ -23,6 +24,7 @@
 {
     std::vector<std::unique_ptr<Command>> commands = gentiancross::makeClientCommands();
     commands.push_back(std::make_unique<gentiancross::ServeCommand>());
+    commands.push_back(std::make_unique<gentiancross::CellCommand>());
     commands.push_back(std::make_unique<gentiancross::CheckSettingsCommand>());
     commands.push_back(std::make_unique<gentiancross::TimelineCommand>());
     commands.push_back(std::make_unique<gentiancross::ReportCommand>());
--- a/servers/control_server.cpp
+++ b/servers/control_server.cpp
@@ -2,8 +2,8 @@
 
 namespace gentiancross {
 
-ControlServer::ControlServer(Root &root, const Clock &clock)
-    : m_root(root)
+ControlServer::ControlServer(Reducer &reducer, const Clock &clock)
+    : m_reducer(reducer)
     , m_clock(clock)
 {}
 
@@ -35,7 +35,7 @@
         for (EventPayload &payload : batch) {
             // The clock is read for each event, so that a pause of the process is seen by the next.
             const Event event{m_clock.now(), m_clock.wallTime(), std::move(payload)};
-            for (Effect &effect : m_root.reduce(event))
+            for (Effect &effect : m_reducer.reduce(event))
                 m_effects->carryOut(std::move(effect));
         }
     }
--- a/servers/control_server.h
+++ b/servers/control_server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control/root.h"
+#include "control/reducer.h"
 #include "core/clock.h"
 #include "servers/event_sink.h"
 #include "servers/work_queue.h"
@@ -16,8 +16,8 @@
 class ControlServer final : public EventSink, private ACE_Task_Base
 {
 public:
-    /** \a root and \a clock must outlive this object; \a effects must be set before start. */
-    ControlServer(Root &root, const Clock &clock);
+    /** \a reducer and \a clock must outlive this object; \a effects must be set before start. */
+    ControlServer(Reducer &reducer, const Clock &clock);
     ~ControlServer() override;
 
     void setEffectHandler(EffectHandler *effects) { m_effects = effects; }
@@ -28,7 +28,7 @@
 private:
     int svc() override;
 
-    Root &m_root;
+    Reducer &m_reducer;
     const Clock &m_clock;
     EffectHandler *m_effects = nullptr;
     WorkQueue<EventPayload> m_queue;
--- a/servers/effect_router.cpp
+++ b/servers/effect_router.cpp
@@ -1,28 +1,36 @@
 #include "servers/effect_router.h"
 
-#include "drivers/log.h"
+#include "servers/log_server.h"
 
 namespace gentiancross {
 
 void EffectRouter::carryOut(Effect effect)
 {
-    if (std::holds_alternative<Reply>(effect) || std::holds_alternative<ForwardExchange>(effect)) {
-        m_handlers.front.carryOut(std::move(effect));
-    } else if (std::holds_alternative<SendToPeer>(effect)) {
-        m_handlers.peers.carryOut(std::move(effect));
-    } else if (std::holds_alternative<StartTask>(effect)) {
-        m_handlers.targets.carryOut(std::move(effect));
-    } else if (std::holds_alternative<Persist>(effect)) {
-        if (m_handlers.journal != nullptr)
-            m_handlers.journal->carryOut(std::move(effect));
-    } else if (const auto *line = std::get_if<LogLine>(&effect)) {
-        if (line->warning)
-            logWarning(line->subject, line->what);
-        else
-            logInfo(line->subject, line->what);
-    } else {
+    EffectHandler *const handler = handlerOf(effect);
+    if (handler != nullptr)
+        handler->carryOut(std::move(effect));
+    else if (const auto *line = std::get_if<LogLine>(&effect))
+        writeLogLine(*line);
+    else if (std::holds_alternative<Exit>(effect))
         m_handlers.exit();
-    }
+}
+
+EffectHandler *EffectRouter::handlerOf(const Effect &effect) const
+{
+    if (std::holds_alternative<Reply>(effect) || std::holds_alternative<ForwardExchange>(effect)
+        || std::holds_alternative<AnswerCall>(effect))
+        return &m_handlers.front;
+    if (std::holds_alternative<SendToPeer>(effect))
+        return &m_handlers.peers;
+    if (std::holds_alternative<StartTask>(effect))
+        return &m_handlers.targets;
+    if (std::holds_alternative<Persist>(effect))
+        return m_handlers.journal;
+    if (std::holds_alternative<CallWorker>(effect) || std::holds_alternative<AdviceAsk>(effect))
+        return m_handlers.cellWorkers;
+    if (std::holds_alternative<LogLine>(effect))
+        return m_handlers.log;
+    return nullptr;
 }
 
 } // namespace gentiancross
--- a/servers/effect_router.h
+++ b/servers/effect_router.h
@@ -18,6 +18,10 @@
         /** Null on a host without a data folder, which is asked to persist nothing. */
         EffectHandler *journal = nullptr;
         std::function<void()> exit;
+        /** Null on a host that is in no cell. */
+        EffectHandler *cellWorkers = nullptr;
+        /** Null to write lines at once. */
+        EffectHandler *log = nullptr;
     };
 
     explicit EffectRouter(Handlers handlers)
@@ -27,6 +31,8 @@
     void carryOut(Effect effect) override;
 
 private:
+    [[nodiscard]] EffectHandler *handlerOf(const Effect &effect) const;
+
     Handlers m_handlers;
 };
 
--- a/servers/json_fields.cpp
+++ b/servers/json_fields.cpp
@@ -69,6 +69,17 @@
         value = static_cast<std::uint32_t>(number);
 }
 
+void JsonFields::read(const char *name, double &value)
+{
+    if (!m_error.empty() || !m_json.isMember(name))
+        return;
+    const Json::Value &json = m_json[name];
+    if (json.isNumeric() && json.asDouble() >= 0 && json.asDouble() <= double(LargestNumber))
+        value = json.asDouble();
+    else
+        fail(std::string(name) + " must be a number of 0 or more");
+}
+
 void JsonFields::read(const char *name, Instant &value)
 {
     std::int64_t number = value.value();
--- a/servers/json_fields.h
+++ b/servers/json_fields.h
@@ -22,6 +22,8 @@
     void read(const char *name, std::string &value);
     void read(const char *name, bool &value);
     void read(const char *name, std::uint32_t &value);
+    /** Reads a number of 0 or more. */
+    void read(const char *name, double &value);
     void read(const char *name, Labels &value);
     void read(const char *name, Resources &value);
 
--- /dev/null
+++ b/servers/log_server.cpp
@@ -0,0 +1,57 @@
+#include "servers/log_server.h"
+
+#include "drivers/log.h"
+
+namespace gentiancross {
+
+namespace {
+
+/** About a second's lines of a loaded leader. */
+constexpr std::size_t MostLinesWaiting = 4000;
+
+} // namespace
+
+void writeLogLine(const LogLine &line)
+{
+    if (line.warning)
+        logWarning(line.subject, line.what);
+    else
+        logInfo(line.subject, line.what);
+}
+
+LogServer::LogServer()
+    : m_queue(MostLinesWaiting)
+{}
+
+LogServer::~LogServer()
+{
+    stop();
+}
+
+void LogServer::start()
+{
+    activate();
+}
+
+void LogServer::stop()
+{
+    m_queue.close();
+    wait();
+}
+
+void LogServer::carryOut(Effect effect)
+{
+    m_queue.put(std::get<LogLine>(std::move(effect)));
+}
+
+int LogServer::svc()
+{
+    for (std::vector<LogLine> batch = m_queue.takeAll(); !batch.empty();
+         batch = m_queue.takeAll()) {
+        for (const LogLine &line : batch)
+            writeLogLine(line);
+    }
+    return 0;
+}
+
+} // namespace gentiancross
--- a/servers/peer_link.cpp
+++ b/servers/peer_link.cpp
@@ -113,11 +113,16 @@
     , m_events(events)
     , m_dispatcher(DeliverMethod, [this](const Json::Value &batch) { receive(batch); })
 {
-    for (const auto &[peer, address] : m_addresses.addresses) {
-        const RpcTarget target{"http://" + address + "/rpc", m_addresses.fleetSecret,
-                               CallTimeoutMilliseconds};
-        m_senders.emplace(peer, std::make_unique<Sender>(m_addresses.self, peer, target));
-    }
+    for (const auto &[peer, address] : m_addresses.addresses)
+        addSender(peer, address);
+}
+
+PeerLink::Sender &PeerLink::addSender(const HostId &peer, const std::string &address)
+{
+    const RpcTarget target{"http://" + address + "/rpc", m_addresses.fleetSecret,
+                           CallTimeoutMilliseconds};
+    return *m_senders.emplace(peer, std::make_unique<Sender>(m_addresses.self, peer, target))
+                    .first->second;
 }
 
 PeerLink::~PeerLink() = default;
@@ -138,8 +143,13 @@
 {
     auto message = std::get<SendToPeer>(std::move(effect));
     const auto sender = m_senders.find(message.to);
-    if (sender != m_senders.end())
+    if (sender != m_senders.end()) {
         sender->second->put(std::move(message));
+    } else if (m_addresses.hostsAreAddresses) {
+        Sender &added = addSender(message.to, message.to.value());
+        added.activate();
+        added.put(std::move(message));
+    }
 }
 
 std::string PeerLink::dispatch(const std::string &request)
--- a/servers/peer_link.h
+++ b/servers/peer_link.h
@@ -21,13 +21,15 @@
     /** "ip:port" of each other host's peer listener. */
     std::map<HostId, std::string> addresses;
     std::string fleetSecret;
+    /** True if a host that is not listed is reached at the address that is its name. */
+    bool hostsAreAddresses = false;
 };
 
 /**
  * Sends messages to the other entry hosts and takes theirs in. Each peer has a thread, so that one
  * that does not answer delays no other; messages that gather meanwhile go in one call. A message
  * that can't be sent is dropped: the protocols repeat what matters.
- * Thread safety: carryOut and dispatch from any thread.
+ * Thread safety: carryOut from the control thread, dispatch from any thread.
  */
 class PeerLink final : public EffectHandler
 {
@@ -45,6 +47,7 @@
 private:
     class Sender;
 
+    Sender &addSender(const HostId &peer, const std::string &address);
     void receive(const Json::Value &batch);
 
     PeerAddresses m_addresses;
--- /dev/null
+++ b/servers/peer_listener.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "drivers/http_listener.h"
+#include "servers/peer_link.h"
+
+namespace gentiancross {
+
+/** Takes the calls of other hosts in and hands them to the peer link. Thread safety: any thread. */
+class PeerListener final : private HttpHandler
+{
+public:
+    /** \a link must outlive this object. */
+    PeerListener(PeerLink &link, std::string fleetSecret);
+
+    /** Errors as HttpListener::start. */
+    absl::Status start(const std::string &ip, std::uint16_t port);
+    void stop() { m_listener.stop(); }
+
+private:
+    void requestReceived(HttpToken token, HttpRequest request) override;
+    void requestAbandoned(HttpToken) override {}
+
+    PeerLink &m_link;
+    std::string m_fleetSecret;
+    HttpListener m_listener;
+};
+
+} // namespace gentiancross
