Elect leaders within a second, hand over at shutdown, hold calls during a takeover

Change: the log's timing is a parameter, a cell's is 600 to 900 ms; a leader that shuts down hands over (LeadNow); a new leader tells all hosts that asked; calls wait for it up to 1.2 s.

--- a/control/agreement.cpp
+++ b/control/agreement.cpp
@@ -20,14 +20,16 @@
 
 } // namespace
 
-Agreement::Agreement(const HostDirectory &directory, Identity identity, std::uint64_t seed)
+Agreement::Agreement(const HostDirectory &directory, Identity identity, std::uint64_t seed,
+                     AgreementTiming timing)
     : m_directory(directory)
     , m_identity(std::move(identity))
+    , m_timing(timing)
     , m_first(directory, m_identity.replica)
     , m_ballot(m_identity.replica)
     , m_random(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1))
     , m_synced(directory.own().hasStore)
-    , m_progress(directory)
+    , m_progress(directory, timing.heartbeat, timing.resendAfter)
 {}
 
 void Agreement::recover(const JournalRecord &record)
@@ -90,13 +92,13 @@
 
 bool Agreement::hasContact(Instant now) const
 {
-    return m_leader.has_value() && now - m_lastContact < ElectionTimeoutLeast;
+    return m_leader.has_value() && now - m_lastContact < m_timing.electionLeast;
 }
 
 void Agreement::resetElectionTimer(Instant now)
 {
-    std::uniform_int_distribution<std::int64_t> spread(0, ElectionTimeoutSpread.value());
-    m_electionDeadline = now + ElectionTimeoutLeast + Milliseconds(spread(m_random));
+    std::uniform_int_distribution<std::int64_t> spread(0, m_timing.electionSpread.value());
+    m_electionDeadline = now + m_timing.electionLeast + Milliseconds(spread(m_random));
 }
 
 void Agreement::follow(Instant now, Term term, std::optional<HostId> leader, Outbox &out)
@@ -238,12 +240,12 @@
 
 void Agreement::updateQuorumContact(Instant now, Outbox &out)
 {
-    std::set<ReplicaId> present = m_progress.answering(now, ElectionTimeoutLeast);
+    std::set<ReplicaId> present = m_progress.answering(now, m_timing.electionLeast);
     present.insert(m_identity.replica);
     if (voting::isQuorum(m_membership, present))
         m_lastContact = now;
     // A leader that has lost its quorum must not go on answering as one.
-    else if (now - m_lastContact > ElectionTimeoutLeast + ElectionTimeoutSpread)
+    else if (now - m_lastContact > m_timing.electionLeast + m_timing.electionSpread)
         follow(now, term(), std::nullopt, out);
 }
 
@@ -372,6 +374,28 @@
     out.sendAfterSync(from, makeReply(now, Instant(), true, snapshot.index));
 }
 
+void Agreement::receive(Instant now, const HostId &, const LeadNow &message, Outbox &out)
+{
+    const bool isVoter = voting::isVoter(m_membership, m_identity.replica);
+    if (message.term == term() && isVoter && !isLeader())
+        startElection(now, out);
+}
+
+void Agreement::handOver(Outbox &out) const
+{
+    std::optional<HostId> best;
+    LogIndex most;
+    for (const ReplicaId &voter : m_membership.voters) {
+        const FollowerProgress *progress = m_progress.find(hostOf(voter));
+        if (progress == nullptr || progress->replica != voter || progress->match < most)
+            continue;
+        best = hostOf(voter);
+        most = progress->match;
+    }
+    if (best.has_value())
+        out.send(*best, LeadNow{term()});
+}
+
 void Agreement::receive(Instant now, const HostId &from, const AppendReply &message, Outbox &out)
 {
     if (message.term > term()) {
@@ -506,7 +530,7 @@
     if (!m_membership.outgoing.empty() || m_commit < m_log.lastIndex())
         return;
     const std::optional<Membership> change
-            = voting::repair(m_membership, m_progress, now, ElectionTimeoutLeast, m_commit);
+            = voting::repair(m_membership, m_progress, now, m_timing.electionLeast, m_commit);
     if (change.has_value())
         appendOwn(now, {{}, {}, ProposalId(), *change}, out);
 }
--- a/control/agreement.h
+++ b/control/agreement.h
@@ -20,6 +20,19 @@
 
 namespace gentiancross {
 
+/** How soon a log's hosts act. All hosts of one log have the same. */
+struct AgreementTiming
+{
+    /** A follower that hears nothing of its leader for this long, and up to the spread longer,
+     * stands for election. */
+    Milliseconds electionLeast{1600};
+    Milliseconds electionSpread{800};
+    /** A leader with no news sends this often. */
+    Milliseconds heartbeat{700};
+    /** A message without an answer for this long counts as lost. */
+    Milliseconds resendAfter{1500};
+};
+
 /** An entry that has just been applied, and what became of it. */
 struct AppliedEntry
 {
@@ -39,10 +52,8 @@
 class Agreement
 {
 public:
-    static constexpr Milliseconds ElectionTimeoutLeast{1600};
-    static constexpr Milliseconds ElectionTimeoutSpread{800};
-
-    Agreement(const HostDirectory &directory, Identity identity, std::uint64_t seed);
+    Agreement(const HostDirectory &directory, Identity identity, std::uint64_t seed,
+              AgreementTiming timing = {});
 
     /** Takes one durable record up again; call in the order of writing, before any other event. */
     void recover(const JournalRecord &record);
@@ -58,6 +69,10 @@
     void receive(Instant now, const HostId &from, const AppendRequest &message, Outbox &out);
     void receive(Instant now, const HostId &from, const AppendReply &message, Outbox &out);
     void receive(Instant now, const HostId &from, const InstallSnapshot &message, Outbox &out);
+    void receive(Instant now, const HostId &from, const LeadNow &message, Outbox &out);
+
+    /** Asks the voter that holds most to lead at once. Precondition: leader. */
+    void handOver(Outbox &out) const;
 
     /**
      * Appends a command. Error: Unavailable if this host does not lead.
@@ -88,6 +103,7 @@
     /** The current leader as far as this host knows. */
     [[nodiscard]] std::optional<HostId> leader() const { return m_leader; }
     [[nodiscard]] Term term() const { return m_ballot.term(); }
+    [[nodiscard]] const AgreementTiming &timing() const { return m_timing; }
     [[nodiscard]] LogIndex commitIndex() const { return m_commit; }
     [[nodiscard]] LogIndex appliedIndex() const { return m_applied; }
     /** True if what is applied includes an entry of the current term, and so all that was ever
@@ -155,6 +171,7 @@
 
     const HostDirectory &m_directory;
     Identity m_identity;
+    AgreementTiming m_timing;
     FirstMembership m_first;
     Ballot m_ballot;
     std::minstd_rand m_random;
--- a/control/configuration.cpp
+++ b/control/configuration.cpp
@@ -143,7 +143,7 @@
         const std::optional<Instant> heard = m_agreement.lastReplyOf(host);
         // A leader without a quorum may have gone on talking to the host for an election timeout.
         const Milliseconds margin
-                = Agreement::ElectionTimeoutLeast + Agreement::ElectionTimeoutSpread;
+                = m_agreement.timing().electionLeast + m_agreement.timing().electionSpread;
         const bool honoursNoKey
                 = heard.has_value() && now - *heard > withDrift(m_keyGrace + margin);
         if (!honoursNoKey)
--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/call_relay.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace gentiancross {
 
 namespace {
@@ -12,8 +14,12 @@
 constexpr Milliseconds LeaderAge{1300};
 /** A call without an answer goes out again; the link's own time-out is a second. */
 constexpr Milliseconds ResendAfter{1100};
-/** A takeover is over after about so long. */
-constexpr Milliseconds TakeoverTime{1000};
+/** Keepers must know the hosts that a new leader is to tell of itself. */
+constexpr Milliseconds RoundInterval{2000};
+/** An election and a first commit take less; a call waits no longer for the next leader. */
+constexpr Milliseconds TakeoverTime{1200};
+/** Without a quorum, nothing is decided until hosts come back; that takes some seconds. */
+constexpr Milliseconds OutageRetry{1000};
 
 } // namespace
 
@@ -38,19 +44,26 @@
 
 void CallRelay::receive(Instant now, const CellCallReceived &event, Outbox &out)
 {
-    if (!hasLeader(now)) {
-        out.add(AnswerCall{event.exchange,
-                           CallRefused{Refusal::NotNow, "no leader is known", TakeoverTime}});
+    const bool isTakeover = now - m_leaderHeard < LeaderAge + TakeoverTime;
+    if (!hasLeader(now) && !isTakeover) {
+        refuse(event.exchange, out);
         return;
     }
-    Pending pending{event.call, now + event.patience, {}, {}};
-    send(now, event.exchange, pending, out);
+    Pending pending{event.call, now + event.patience, std::nullopt};
+    if (hasLeader(now))
+        send(now, event.exchange, pending, out);
     m_pending.emplace(event.exchange, std::move(pending));
 }
 
+void CallRelay::refuse(ExchangeId exchange, Outbox &out)
+{
+    out.add(AnswerCall{exchange, CallRefused{Refusal::NotNow, "no leader is known", OutageRetry}});
+    out.add(LogLine{true, "relay",
+                    absl::StrCat("refused: exchange=", exchange.value(), " no leader is known")});
+}
+
 void CallRelay::send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out)
 {
-    pending.sentTo = *m_leader;
     pending.sentAt = now;
     out.send(*m_leader, CallRelayed{exchange, pending.call});
 }
@@ -87,7 +100,7 @@
     expire(now, out);
     if (hasLeader(now)) {
         for (auto &[exchange, pending] : m_pending) {
-            if (now - pending.sentAt >= ResendAfter)
+            if (!pending.sentAt.has_value() || now - *pending.sentAt >= ResendAfter)
                 send(now, exchange, pending, out);
         }
     }
@@ -95,27 +108,46 @@
         askWhoLeads(now, out);
 }
 
+std::vector<std::pair<ExchangeId, CellCall>> CallRelay::takePending()
+{
+    std::vector<std::pair<ExchangeId, CellCall>> calls;
+    for (auto &[exchange, pending] : m_pending)
+        calls.emplace_back(exchange, std::move(pending.call));
+    m_pending.clear();
+    return calls;
+}
+
 void CallRelay::expire(Instant now, Outbox &out)
 {
+    const bool isOutage = !hasLeader(now) && now - m_leaderHeard >= LeaderAge + TakeoverTime;
     for (auto pending = m_pending.begin(); pending != m_pending.end();) {
-        if (now < pending->second.deadline) {
+        const bool wasSent = pending->second.sentAt.has_value();
+        if (now < pending->second.deadline && (wasSent || !isOutage)) {
             ++pending;
             continue;
         }
-        out.add(AnswerCall{pending->first,
-                           CallRefused{Refusal::Unknown, "the leader has not answered", {}}});
+        if (wasSent) {
+            out.add(AnswerCall{pending->first,
+                               CallRefused{Refusal::Unknown, "the leader has not answered", {}}});
+            out.add(LogLine{true, "relay",
+                            absl::StrCat("unknown: exchange=", pending->first.value(),
+                                         " the leader has not answered")});
+        } else {
+            refuse(pending->first, out);
+        }
         pending = m_pending.erase(pending);
     }
 }
 
 void CallRelay::askWhoLeads(Instant now, Outbox &out)
 {
-    if (hasLeader(now)) {
+    if (hasLeader(now) && now < m_nextRound) {
         m_nextAsk = now + AskInterval;
         out.send(*m_leader, m_introduction);
         return;
     }
-    m_nextAsk = now + SearchInterval;
+    m_nextAsk = now + (hasLeader(now) ? AskInterval : SearchInterval);
+    m_nextRound = now + RoundInterval;
     for (const HostId &keeper : m_keepers)
         out.send(keeper, m_introduction);
 }
--- a/control/jobs/call_relay.h
+++ b/control/jobs/call_relay.h
@@ -19,13 +19,16 @@
     /** \a seeds are asked first who leads. */
     CallRelay(HostId self, LeaderAsk introduction, const std::vector<HostId> &seeds);
 
-    /** Passes a call on, or refuses it at once if nobody is known who could decide. */
+    /** Passes a call on. While another leader is being elected the call waits for it; if that takes
+     * longer, nobody can decide, and the call is refused at once. */
     void receive(Instant now, const CellCallReceived &event, Outbox &out);
     void receive(Instant now, const HostId &from, const LeaderTold &message, Outbox &out);
     void receive(const CallAnswered &message, Outbox &out);
     /** The caller has gone away. */
     void closed(ExchangeId exchange) { m_pending.erase(exchange); }
     void tick(Instant now, Outbox &out);
+    /** The calls that wait, for a host that decides them itself from now on. */
+    std::vector<std::pair<ExchangeId, CellCall>> takePending();
 
     /** True if a leader has said so lately. */
     [[nodiscard]] bool hasLeader(Instant now) const;
@@ -37,10 +40,11 @@
     {
         CellCall call;
         Instant deadline;
-        HostId sentTo;
-        Instant sentAt;
+        /** Empty until it is sent. */
+        std::optional<Instant> sentAt;
     };
 
+    static void refuse(ExchangeId exchange, Outbox &out);
     void send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out);
     void expire(Instant now, Outbox &out);
     void askWhoLeads(Instant now, Outbox &out);
@@ -51,6 +55,7 @@
     std::optional<HostId> m_leader;
     Instant m_leaderHeard;
     Instant m_nextAsk;
+    Instant m_nextRound;
     std::map<ExchangeId, Pending> m_pending;
 };
 
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -10,9 +10,17 @@
 
 namespace {
 
-/** A leader acts for so long after its last message that a quorum has answered. Heartbeats go out
- * every 700 ms; former leases are reckoned with the same margin (see WorkerPool). */
-constexpr Milliseconds ConfirmedFor{1200};
+/** Hosts of a cell are a millisecond apart and sync within some ten; a follower misses three
+ * heartbeats and a re-sent message before it stands for election. */
+constexpr AgreementTiming CellTiming{Milliseconds(600), Milliseconds(300), Milliseconds(150),
+                                     Milliseconds(400)};
+/** A leader acts for so long after its last message that a quorum has answered: three heartbeats.
+ * Former leases are reckoned with a longer margin (see WorkerPool). */
+constexpr Milliseconds ConfirmedFor{500};
+/** Hosts ask a keeper every two seconds at least. */
+constexpr Milliseconds AskerAge{6000};
+/** A leader that shuts down hands over before it ends, but does not wait longer than this. */
+constexpr Milliseconds HandOverTime{1500};
 constexpr Milliseconds VoterCheckInterval{500};
 /** A voter that is silent for so long gives its vote to a store that answers. */
 constexpr Milliseconds VoterSilence{4000};
@@ -31,7 +39,7 @@
               m_options.seeds)
 {
     if (m_options.isKeeper)
-        m_agreement.emplace(m_options.directory, m_options.identity, m_options.seed);
+        m_agreement.emplace(m_options.directory, m_options.identity, m_options.seed, CellTiming);
 }
 
 Effects CellRoot::reduce(const Event &event)
@@ -63,10 +71,21 @@
     }
     if (m_leader == nullptr)
         m_relay.tick(m_now, m_out);
-    if (m_isShuttingDown && !m_hasExited && m_now >= m_exitAt) {
-        m_hasExited = true;
-        m_out.add(Exit{});
+    if (m_isShuttingDown && !m_hasExited)
+        continueShutdown();
+}
+
+void CellRoot::continueShutdown()
+{
+    const bool leads = m_agreement.has_value() && m_agreement->isLeader();
+    if (leads && m_now < m_exitAt + HandOverTime) {
+        m_agreement->handOver(m_out);
+        return;
     }
+    if (m_now < m_exitAt)
+        return;
+    m_hasExited = true;
+    m_out.add(Exit{});
 }
 
 void CellRoot::handle(const Recovered &event)
@@ -159,15 +178,20 @@
         return;
     if (message.isKeeper)
         addKeeper(from);
-    const bool decides = m_leader != nullptr && isConfirmed();
-    if (decides && message.callsAdviser)
+    m_askers[from] = {m_now, message.callsAdviser};
+    if (m_leader != nullptr && message.callsAdviser)
         m_leader->adviserSeen(m_now, from);
+    m_out.send(from, describeLeader());
+}
+
+LeaderTold CellRoot::describeLeader() const
+{
     LeaderTold told;
     told.leader = m_agreement->leader();
-    told.decides = decides;
+    told.decides = m_leader != nullptr && isConfirmed();
     for (const auto &[host, info] : m_options.directory.hosts)
         told.keepers.push_back(host);
-    m_out.send(from, std::move(told));
+    return told;
 }
 
 void CellRoot::handlePeer(const HostId &from, const LeaderTold &message)
@@ -246,6 +270,12 @@
         m_agreement->receive(m_now, from, message, m_out);
 }
 
+void CellRoot::handlePeer(const HostId &from, const LeadNow &message)
+{
+    if (m_agreement.has_value())
+        m_agreement->receive(m_now, from, message, m_out);
+}
+
 void CellRoot::addKeeper(const HostId &host)
 {
     if (m_options.directory.knows(host))
@@ -270,6 +300,11 @@
     // Until an entry of its own term is applied, a leader does not know all that was promised.
     if (!leads || m_leader != nullptr || !isConfirmed() || !m_agreement->hasAppliedOwnTerm())
         return;
+    beginToLead();
+}
+
+void CellRoot::beginToLead()
+{
     LeaderOptions options{m_options.directory.self, Fence(m_agreement->term().value()),
                           m_options.beatAddress};
     m_leader = std::make_unique<CellLeader>(m_now, std::move(options),
@@ -278,6 +313,19 @@
                       absl::StrCat("decides from now on: term=", m_agreement->term().value(),
                                    " index=", m_agreement->appliedIndex().value(),
                                    " jobs=", m_leader->book().jobs.size())});
+    for (const auto &[exchange, call] : m_relay.takePending())
+        m_leader->receive(m_now, m_wall, {m_options.directory.self, exchange}, call, m_out);
+    for (auto asker = m_askers.begin(); asker != m_askers.end();) {
+        if (m_now - asker->second.askedAt > AskerAge) {
+            asker = m_askers.erase(asker);
+            continue;
+        }
+        if (asker->second.callsAdviser)
+            m_leader->adviserSeen(m_now, asker->first);
+        // Calls that wait for a leader must not wait for their host's next question too.
+        m_out.send(asker->first, describeLeader());
+        ++asker;
+    }
 }
 
 bool CellRoot::isConfirmed() const
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -72,12 +72,16 @@
     void handlePeer(const HostId &from, const AppendRequest &message);
     void handlePeer(const HostId &from, const AppendReply &message);
     void handlePeer(const HostId &from, const InstallSnapshot &message);
+    void handlePeer(const HostId &from, const LeadNow &message);
     /** Messages of hosts that decide for a data centre. */
     template <typename Message>
     void handlePeer(const HostId &, const Message &)
     {}
 
     void addKeeper(const HostId &host);
+    void continueShutdown();
+    void beginToLead();
+    [[nodiscard]] LeaderTold describeLeader() const;
     void adjustLeader();
     void adjustVoters();
     [[nodiscard]] bool isConfirmed() const;
@@ -86,6 +90,12 @@
     void sendAnswer(const CallOrigin &origin, const CallAnswer &answer);
     void compactIfLarge();
 
+    struct Asker
+    {
+        Instant askedAt;
+        bool callsAdviser = false;
+    };
+
     /** Decisions whose records are in the log up to `index`. */
     struct Proposed
     {
@@ -97,6 +107,8 @@
     Outbox m_out;
     std::optional<Agreement> m_agreement;
     CallRelay m_relay;
+    /** The hosts that have asked who leads, and when. */
+    std::map<HostId, Asker> m_askers;
     std::unique_ptr<CellLeader> m_leader;
     std::deque<Proposed> m_proposed;
     /** Questions to the adviser that other hosts sent here, by the number they have here. */
--- a/control/replication_progress.cpp
+++ b/control/replication_progress.cpp
@@ -4,15 +4,10 @@
 
 namespace gentiancross {
 
-namespace {
-
-/** A message without an answer for this long counts as lost. */
-constexpr Milliseconds ResendAfter{1500};
-constexpr Milliseconds HeartbeatInterval{700};
-
-} // namespace
-
-ReplicationProgress::ReplicationProgress(const HostDirectory &directory)
+ReplicationProgress::ReplicationProgress(const HostDirectory &directory, Milliseconds heartbeat,
+                                         Milliseconds resendAfter)
+    : m_heartbeat(heartbeat)
+    , m_resendAfter(resendAfter)
 {
     for (const auto &[host, info] : directory.hosts) {
         if (host != directory.self)
@@ -77,8 +72,8 @@
     std::vector<HostId> due;
     for (const auto &[host, progress] : m_hosts) {
         const bool hasNews = progress.next <= last || progress.toldCommit < commit;
-        const bool isLost = progress.inFlight && now - progress.lastSent >= ResendAfter;
-        const bool isHeartbeatDue = now - progress.lastSent >= HeartbeatInterval;
+        const bool isLost = progress.inFlight && now - progress.lastSent >= m_resendAfter;
+        const bool isHeartbeatDue = now - progress.lastSent >= m_heartbeat;
         if (isLost || (!progress.inFlight && (hasNews || isHeartbeatDue)))
             due.push_back(host);
     }
--- a/control/replication_progress.h
+++ b/control/replication_progress.h
@@ -39,7 +39,10 @@
 class ReplicationProgress
 {
 public:
-    explicit ReplicationProgress(const HostDirectory &directory);
+    /** A host is sent something every \a heartbeat, and again after \a resendAfter without answer.
+     */
+    ReplicationProgress(const HostDirectory &directory, Milliseconds heartbeat,
+                        Milliseconds resendAfter);
 
     /** Forgets all; a new leader sends entries from \a next on. */
     void restart(Instant now, LogIndex next);
@@ -70,6 +73,8 @@
     [[nodiscard]] const FollowerProgress *find(const HostId &host) const;
 
 private:
+    Milliseconds m_heartbeat;
+    Milliseconds m_resendAfter;
     std::map<HostId, FollowerProgress> m_hosts;
 };
 
--- a/control/root.h
+++ b/control/root.h
@@ -82,6 +82,7 @@
     void handlePeer(const HostId &, const CallAnswered &) {}
     void handlePeer(const HostId &, const AdviceAsk &) {}
     void handlePeer(const HostId &, const AdviceTold &) {}
+    void handlePeer(const HostId &, const LeadNow &) {}
     template <typename Message>
     void handlePeer(const HostId &from, const Message &message);
 
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -225,9 +225,21 @@
     }
 };
 
+/** Asks a voter to stand for election at once, since its leader is shutting down. */
+struct LeadNow
+{
+    Term term;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.term);
+    }
+};
+
 using PeerMessage = std::variant<Hello, VoteRequest, VoteReply, AppendRequest, AppendReply,
                                  InstallSnapshot, Propose, MirrorAppend, MirrorReply, HandOver,
                                  LedgerAsk, LedgerTold, MirrorLease, LeaderAsk, LeaderTold,
-                                 CallRelayed, CallAnswered, AdviceAsk, AdviceTold>;
+                                 CallRelayed, CallAnswered, AdviceAsk, AdviceTold, LeadNow>;
 
 } // namespace gentiancross
