--- /dev/null
+++ b/tests/control/jobs/cell_group.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "control/jobs/cell_root.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gentiancross::tests {
+
+/**
+ * The hosts of a cell with messages, disks and time in the hands of a test. What was persisted but
+ * not synced is lost with a crash. Keepers are "k1", "k2", ..., the first three are the seeds;
+ * "e1", "e2" take callers.
+ */
+class CellGroup
+{
+public:
+    explicit CellGroup(int keepers, std::uint64_t seed = 1);
+
+    void pass(std::int64_t milliseconds);
+    void crash(const std::string &host);
+    void restart(const std::string &host);
+    void loseDisk(const std::string &host) { m_disks.erase(host); }
+    void shutDown(const std::string &host);
+    /** Messages pass only within each group. */
+    void partition(std::vector<std::set<std::string>> groups) { m_groups = std::move(groups); }
+    void heal() { m_groups.clear(); }
+
+    ExchangeId call(const std::string &host, const CellCall &call, std::int64_t patience = 3000);
+    /** The answer to a call, once there is one. */
+    [[nodiscard]] const CallAnswer *answer(ExchangeId exchange) const;
+    /** Waits for an answer; returns how long it took, or nothing within \a most. */
+    std::optional<std::int64_t> wait(ExchangeId exchange, std::int64_t most);
+    bool isReady(const std::string &host);
+    [[nodiscard]] bool hasExited(const std::string &host) const { return m_exited.contains(host); }
+    /** The keeper whose answers callers get now. */
+    std::optional<std::string> leader();
+
+private:
+    struct Disk
+    {
+        std::string name;
+        std::vector<JournalRecord> synced;
+        std::vector<std::pair<SyncToken, std::vector<JournalRecord>>> written;
+    };
+
+    struct Flight
+    {
+        std::string from;
+        std::string to;
+        PeerMessage message;
+    };
+
+    void start(const std::string &host, bool isFounding);
+    void give(const std::string &host, EventPayload payload);
+    void carryOut(const std::string &host, Effect effect);
+    [[nodiscard]] bool areConnected(const std::string &first, const std::string &second) const;
+
+    std::uint64_t m_seed;
+    Instant m_now{1'000'000};
+    std::map<std::string, std::unique_ptr<CellRoot>> m_hosts;
+    std::map<std::string, Disk> m_disks;
+    std::deque<Flight> m_flights;
+    std::vector<std::set<std::string>> m_groups;
+    std::uint64_t m_lastExchange = 0;
+    int m_disksMade = 0;
+    std::map<ExchangeId, CallAnswer> m_answers;
+    std::map<ExchangeId, bool> m_readiness;
+    std::map<std::string, std::string> m_leaderTold;
+    std::set<std::string> m_exited;
+};
+
+} // namespace gentiancross::tests
--- /dev/null
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -0,0 +1,243 @@
+#include "tests/control/jobs/cell_group.h"
+#include "tests/control/jobs/job_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+/** What the users ask: urgent work starts within this, also when a host is lost. */
+constexpr std::int64_t UrgentMilliseconds = 2100;
+
+PutDocument makePut(std::uint64_t version)
+{
+    ConfigDocument document;
+    document.version = DocumentVersion(version);
+    document.source = "version " + std::to_string(version);
+    QueueConfig queue;
+    queue.queue = QueueId("checks");
+    queue.host = "h";
+    queue.pathPrefix = "/q/";
+    queue.timeout = Milliseconds(3000);
+    queue.pool = PoolId("pool");
+    queue.isPublic = true;
+    document.queues = {queue};
+    document.pools = {{PoolId("pool"), false}};
+    return {document, {}};
+}
+
+JobCall makeSubmit(int number)
+{
+    JobSpec spec;
+    spec.steps = {makeStep(1, 100)};
+    const std::string digits = std::to_string(number);
+    return {JobVerb::Submit,
+            "h",
+            "/q/" + std::string(16 - digits.size(), '0') + digits,
+            {},
+            spec,
+            {}};
+}
+
+JobCall makeLook(int number)
+{
+    JobCall call = makeSubmit(number);
+    call.verb = JobVerb::Look;
+    call.spec.reset();
+    return call;
+}
+
+bool isDone(const CallAnswer *answer)
+{
+    return answer != nullptr && std::holds_alternative<CallDone>(*answer);
+}
+
+bool isShown(const CallAnswer *answer)
+{
+    return answer != nullptr && std::holds_alternative<JobShown>(*answer);
+}
+
+std::string sourceOf(const CallAnswer *answer)
+{
+    const auto *shown = answer == nullptr ? nullptr : std::get_if<DocumentShown>(answer);
+    return shown == nullptr ? std::string() : shown->source;
+}
+
+/** A founded cell with a configuration in force. */
+struct Cell
+{
+    explicit Cell(int keepers = 4, std::uint64_t seed = 1)
+        : group(keepers, seed)
+    {
+        group.pass(4000);
+        const ExchangeId put = group.call("k1", makePut(1));
+        group.wait(put, 2000);
+        REQUIRE(isDone(group.answer(put)));
+    }
+
+    bool submit(const std::string &host, int number, std::int64_t within)
+    {
+        const ExchangeId exchange = group.call(host, makeSubmit(number), within);
+        group.wait(exchange, within);
+        return isDone(group.answer(exchange));
+    }
+
+    bool knows(const std::string &host, int number)
+    {
+        const ExchangeId exchange = group.call(host, makeLook(number));
+        group.wait(exchange, 3000);
+        return isShown(group.answer(exchange));
+    }
+
+    CellGroup group;
+};
+
+} // namespace
+
+TEST_CASE("A cell founds itself through its seeds, and every host serves callers")
+{
+    Cell cell;
+    for (const char *host : {"k1", "k2", "k3", "k4", "e1", "e2"}) {
+        CHECK(cell.group.isReady(host));
+        const ExchangeId get = cell.group.call(host, GetDocument{});
+        cell.group.wait(get, 1000);
+        CHECK(sourceOf(cell.group.answer(get)) == "version 1");
+    }
+    CHECK(cell.submit("e1", 1, 1000));
+    CHECK(cell.knows("e2", 1));
+}
+
+TEST_CASE("A call that a leader's loss catches is decided by the next one in time")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Cell cell(4, seed);
+        const std::optional<std::string> leader = cell.group.leader();
+        REQUIRE(leader.has_value());
+        REQUIRE(cell.submit("e1", 1, 1000));
+        cell.group.crash(*leader);
+        CHECK(cell.submit("e1", 2, UrgentMilliseconds));
+        CHECK(cell.knows("e2", 1));
+        CHECK(cell.knows("e2", 2));
+    }
+}
+
+TEST_CASE("A leader that shuts down hands over before it ends")
+{
+    Cell cell;
+    const std::optional<std::string> leader = cell.group.leader();
+    REQUIRE(leader.has_value());
+    cell.group.shutDown(*leader);
+    CHECK_FALSE(cell.group.isReady(*leader));
+    CHECK(cell.submit("e1", 1, UrgentMilliseconds));
+    cell.group.pass(3000);
+    CHECK(cell.group.hasExited(*leader));
+    CHECK(cell.knows("e1", 1));
+}
+
+TEST_CASE("A lost voter's place is taken by another store, so that the next loss is borne too")
+{
+    Cell cell;
+    const std::optional<std::string> first = cell.group.leader();
+    REQUIRE(first.has_value());
+    cell.group.crash(*first);
+    cell.group.pass(9000);
+    const std::optional<std::string> second = cell.group.leader();
+    REQUIRE(second.has_value());
+    cell.group.crash(*second);
+    CHECK(cell.submit("e1", 1, UrgentMilliseconds));
+}
+
+TEST_CASE("A keeper that comes back with an empty disk learns all and gives no false word")
+{
+    Cell cell;
+    REQUIRE(cell.submit("e1", 1, 1000));
+    const std::optional<std::string> leader = cell.group.leader();
+    REQUIRE(leader.has_value());
+    cell.group.crash(*leader);
+    cell.group.loseDisk(*leader);
+    cell.group.restart(*leader);
+    cell.group.pass(6000);
+    CHECK(cell.knows(*leader, 1));
+    const ExchangeId get = cell.group.call(*leader, GetDocument{});
+    cell.group.wait(get, 1000);
+    CHECK(sourceOf(cell.group.answer(get)) == "version 1");
+}
+
+TEST_CASE("What was acknowledged outlives the loss of all power")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Cell cell(4, seed);
+        const ExchangeId put = cell.group.call("k2", makePut(9));
+        cell.group.wait(put, 2000);
+        REQUIRE(isDone(cell.group.answer(put)));
+        REQUIRE(cell.submit("e1", 1, 1000));
+        for (const char *host : {"k1", "k2", "k3", "k4"})
+            cell.group.crash(host);
+        cell.group.pass(2000);
+        for (const char *host : {"k1", "k2", "k3", "k4"})
+            cell.group.restart(host);
+        cell.group.pass(3000);
+        CHECK(cell.knows("e1", 1));
+        const ExchangeId get = cell.group.call("k1", GetDocument{});
+        cell.group.wait(get, 1000);
+        CHECK(sourceOf(cell.group.answer(get)) == "version 9");
+    }
+}
+
+TEST_CASE("A leader that is cut off alone answers nobody with what it holds")
+{
+    Cell cell;
+    const std::optional<std::string> leader = cell.group.leader();
+    REQUIRE(leader.has_value());
+    cell.group.partition({{*leader}});
+    cell.group.pass(1500);
+    const std::string other = *leader == "k1" ? "k2" : "k1";
+    const ExchangeId put = cell.group.call(other, makePut(5));
+    cell.group.wait(put, 3000);
+    REQUIRE(isDone(cell.group.answer(put)));
+    const ExchangeId get = cell.group.call(*leader, GetDocument{});
+    cell.group.wait(get, 4000);
+    CHECK(sourceOf(cell.group.answer(get)).empty());
+    cell.group.heal();
+    cell.group.pass(3000);
+    const ExchangeId later = cell.group.call(*leader, GetDocument{});
+    cell.group.wait(later, 2000);
+    CHECK(sourceOf(cell.group.answer(later)) == "version 5");
+}
+
+TEST_CASE("Without a quorum calls are refused at once, with when to come back")
+{
+    Cell cell;
+    for (const char *host : {"k1", "k2", "k3"})
+        cell.group.crash(host);
+    cell.group.pass(5000);
+    CHECK_FALSE(cell.group.isReady("e1"));
+    const ExchangeId exchange = cell.group.call("e1", makeSubmit(1));
+    const CallAnswer *const answer = cell.group.answer(exchange);
+    REQUIRE(answer != nullptr);
+    const auto *refused = std::get_if<CallRefused>(answer);
+    REQUIRE(refused != nullptr);
+    CHECK(refused->refusal == Refusal::NotNow);
+    CHECK(refused->retryAfter > Milliseconds(0));
+}
+
+TEST_CASE("The older of two racing configurations is acknowledged and changes nothing")
+{
+    Cell cell;
+    const ExchangeId newer = cell.group.call("k1", makePut(8));
+    const ExchangeId older = cell.group.call("k2", makePut(7));
+    cell.group.wait(newer, 1000);
+    cell.group.wait(older, 1000);
+    CHECK(isDone(cell.group.answer(newer)));
+    CHECK(isDone(cell.group.answer(older)));
+    const ExchangeId get = cell.group.call("k3", GetDocument{});
+    cell.group.wait(get, 1000);
+    CHECK(sourceOf(cell.group.answer(get)) == "version 8");
+    PutDocument bad = makePut(9);
+    bad.document->queues[0].timeout = Milliseconds(0);
+    const ExchangeId refused = cell.group.call("k3", bad);
+    cell.group.wait(refused, 1000);
+    CHECK_FALSE(isDone(cell.group.answer(refused)));
+}
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,268 @@
+#include "platform/boot_file.h"
+#include "platform/call_wire.h"
+#include "platform/job_wire.h"
+#include "platform/worker_wire.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace gentiancross;
+using namespace gentiancross::platform;
+
+namespace {
+
+const std::string Document
+        = R"({"version":7,"routes":[{"name":"r-1","host":"h.example","path_prefix":"/p/",)"
+          R"("kind":"unsafe","timeout_ms":3000,"target_runtime_ms":1200,"priority":2,)"
+          R"("service":"s","max_attempts":3,"stretch":2.2,)"
+          R"("advice":{"decide_ms":370.0,"each_ms":5.3,"valid_ms":2000},"public":false}],)"
+          R"("services":[{"name":"s","health_path":"/health","max_conns":64,"protocol":"h1",)"
+          R"("tls":false,"enforces_capacity":false,"spare":false}],)"
+          R"("limits":{"max_header_bytes":16384},"tenants":[{"name":"t","api_keys":["k1","k2"],)"
+          R"("priority":1,"weight":10,"cap":{"cpu":834733,"mem_mb":1103433,"gpu":0}}]})";
+
+const std::string Beat
+        = R"({"service":"s","addr":"10.128.0.9:8080","zone":"hobart","version":"v1","slots":8,)"
+          R"("state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},)"
+          R"("labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":1790000000000})";
+
+const std::string Boot
+        = R"({"node":"core-1","ip":"10.1.0.19","zone":"hobart","listen":{"control":"10.1.0.19:8180"},)"
+          R"("port_range":[7420,7435],"seeds":["10.1.0.19:8180","10.2.0.17:8180"],"bootstrap":true,)"
+          R"("data_dir":"/data/x","advice":"10.200.1.9:8182","fault_tolerance":{"machines":2},)"
+          R"("something_new":{"a":[1]}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+bool isReadDocument(const std::string &body)
+{
+    std::string defect;
+    const bool isRead = decodeDocument(body, defect).has_value();
+    CHECK(isRead == defect.empty());
+    return isRead;
+}
+
+} // namespace
+
+TEST_CASE("A configuration is decoded into what its fields hold")
+{
+    std::string defect;
+    const std::optional<ConfigDocument> document = decodeDocument(Document, defect);
+    REQUIRE(document.has_value());
+    CHECK(document->version == DocumentVersion(7));
+    CHECK(document->source == Document);
+    const QueueConfig &queue = document->queues.at(0);
+    CHECK(queue.queue == QueueId("r-1"));
+    CHECK(queue.pathPrefix == "/p/");
+    CHECK(queue.allowance == Milliseconds(1200));
+    CHECK(queue.stretchPermille == 2200);
+    CHECK(queue.mostAttempts == 3);
+    CHECK(queue.advice->eachMicroseconds == 5300);
+    CHECK(queue.advice->validity == Milliseconds(2000));
+    CHECK(document->teams.at(0).keys.size() == 2);
+    CHECK(document->teams.at(0).cap.cores == MilliCores(834733));
+}
+
+TEST_CASE("A configuration that can't be read in full is refused")
+{
+    CHECK(isReadDocument(Document));
+    for (std::size_t size = 0; size < Document.size(); size += 7)
+        CHECK_FALSE(isReadDocument(Document.substr(0, size)));
+    CHECK_FALSE(isReadDocument(replaced(Document, "\"version\":7", "\"version\":\"7\"")));
+    CHECK_FALSE(isReadDocument(replaced(Document, "\"version\":7", "\"version\":-7")));
+    CHECK_FALSE(isReadDocument(replaced(Document, "\"version\":7", "\"other\":7")));
+    CHECK_FALSE(isReadDocument(replaced(Document, "\"timeout_ms\":3000", "\"timeout_ms\":-1")));
+    CHECK_FALSE(isReadDocument(replaced(Document, "\"service\":\"s\"", "\"service\":[]")));
+    CHECK_FALSE(isReadDocument(replaced(Document, "[\"k1\",\"k2\"]", "[\"k1\",2]")));
+    CHECK_FALSE(isReadDocument(replaced(Document, "\"cpu\":834733", "\"cpu\":1e99")));
+    CHECK_FALSE(isReadDocument(std::string(100'000, '[')));
+}
+
+TEST_CASE("A job is decoded, fields left out keep their defaults, wrong ones are named")
+{
+    std::string defect;
+    const std::string body
+            = R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900.5,)"
+              R"("data_rack":"r1-3"},{"count":2,"after":[0],"checkpointing":true,"gang":true,)"
+              R"("same_rack":true,"max_per_server":1,"long_running":true,"target_ms":30,)"
+              R"("fills":true,"may_miss":1,"image":"i","required_label":"a","speculative":true}],)"
+              R"("repeats":3,"first_ms":1790000000000,"period_ms":500})";
+    const std::optional<JobSpec> job = decodeJob(body, defect);
+    REQUIRE(job.has_value());
+    CHECK(job->payload == "text");
+    CHECK(job->steps.at(0).each.cores == MilliCores(500));
+    CHECK(job->steps.at(0).dataRack == "r1-3");
+    CHECK_FALSE(job->steps.at(0).isGang);
+    const StepSpec &second = job->steps.at(1);
+    CHECK(second.after == std::vector<std::uint32_t>{0});
+    CHECK((second.checkpoints && second.isGang && second.prefersOneRack && second.isLasting
+           && second.isBestEffort && second.mayRunCopies));
+    CHECK(second.mostPerWorker == 1);
+    CHECK(second.disruptionBudget == 1);
+    CHECK(second.requiredLabel == "a");
+    CHECK(job->repeats == 3);
+    for (const char *bad :
+         {"", "7", "{}", R"({"steps":{}})", R"({"steps":[7]})", R"({"steps":[{"count":-1}]})",
+          R"({"steps":[{"count":99999999999}]})", R"({"steps":[{"cpu":"much"}]})",
+          R"({"steps":[{"after":[-1]}]})", R"({"spec":5,"steps":[]})"}) {
+        defect.clear();
+        CHECK_FALSE(decodeJob(bad, defect).has_value());
+        CHECK_FALSE(defect.empty());
+    }
+}
+
+TEST_CASE("A task's name is read back as it was written")
+{
+    const JobTaskRef task{{JobId("5c0e7a21d94b36f8"), 2, 1}, 17};
+    CHECK(encodeTask(task) == "5c0e7a21d94b36f8.2.1.17");
+    CHECK(decodeTask("5c0e7a21d94b36f8.2.1.17") == task);
+    for (const char *bad : {"", "a.1.2", "a.1.2.3.4", "a.x.1.1", ".0.0.0", "a.-1.0.0"})
+        CHECK_FALSE(decodeTask(bad).has_value());
+}
+
+TEST_CASE("A heartbeat names a worker only if it can be relied on")
+{
+    const std::optional<WorkerBeat> beat = decodeBeat("i-1", Beat);
+    REQUIRE(beat.has_value());
+    CHECK(beat->report.life == WorkerLife{WorkerId("i-1"), Milliseconds(1790000000000)});
+    CHECK(beat->report.rack == RackId("r1-3"));
+    CHECK(beat->report.capacity.memory == Mebibytes(32768));
+    CHECK(beat->clock == 482113);
+    CHECK(beat->sequence == 4);
+    CHECK_FALSE(beat->report.isDraining);
+    CHECK(decodeBeat("i-1", replaced(Beat, "ready", "draining"))->report.isDraining);
+    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "ready", "dreaming")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "\"addr\"", "\"adr\"")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "\"seq\":4", "\"seq\":\"4\"")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "[\"a\"", "[3")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", "\xff\xfe").has_value());
+    CHECK_FALSE(decodeBeat("", Beat).has_value());
+}
+
+TEST_CASE("Orders are written as the platform reads them")
+{
+    CallWorker call;
+    call.fence = Fence(7);
+    call.leaseUntil = 486000;
+    const JobTaskRef task{{JobId("5c0e7a21d94b36f8"), 0, 1}, 17};
+    call.order = OrderStart{task, RunNumber(2), std::make_shared<const std::string>("text"),
+                            "00000bb87a21d94b", ""};
+    CHECK(encodeOrder(call).path == "/run-start");
+    CHECK(encodeOrder(call).body
+          == R"({"checkpoint":"00000bb87a21d94b","fence":7,"run":2,"spec":"text",)"
+             R"("task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})");
+    call.order = OrderStop{task, RunNumber(2)};
+    CHECK(encodeOrder(call).body == R"({"fence":7,"run":2,"task":"5c0e7a21d94b36f8.0.1.17"})");
+    call.order = OrderHold{EndNumber(57), Milliseconds(1000)};
+    CHECK(encodeOrder(call).path == "/hold");
+    CHECK(encodeOrder(call).body
+          == R"({"fence":7,"last_seen":57,"until_ms":486000,"wait_ms":1000})");
+}
+
+TEST_CASE("A worker's answers are decoded, and broken ones say nothing")
+{
+    const WorkerAnswer lists = decodeAnswer(
+            CallId(3), 200,
+            R"({"clock_ms":482113,"born":17,"running":[["5c.0.1.17",2,"0bb8",41,12],["bad",1]],)"
+            R"("ended":[[58,"5c.0.1.9",1,"done",""],[59,"5c.0.1.9",1,"odd",""]]})");
+    CHECK(lists.verdict == WorkerVerdict::Done);
+    CHECK(lists.clock == 482113);
+    CHECK(lists.born == Milliseconds(17));
+    REQUIRE(lists.running.size() == 1);
+    CHECK(lists.running[0].percent == 41);
+    CHECK(lists.running[0].figure == 12);
+    REQUIRE(lists.ended.size() == 1);
+    CHECK(lists.ended[0].ending == RunEnding::Done);
+    const auto verdictOf = [](int status, const std::string &body) {
+        return decodeAnswer(CallId(1), status, body).verdict;
+    };
+    CHECK(verdictOf(200, "cut {") == WorkerVerdict::NoAnswer);
+    CHECK(verdictOf(421, "") == WorkerVerdict::OtherLife);
+    CHECK(verdictOf(409, R"({"reason":"fence"})") == WorkerVerdict::Fenced);
+    CHECK(verdictOf(409, R"({"reason":"old"})") == WorkerVerdict::Superseded);
+    CHECK(verdictOf(409, R"({"reason":"late"})") == WorkerVerdict::Late);
+    CHECK(verdictOf(409, R"({"reason":"room"})") == WorkerVerdict::NoRoom);
+    CHECK(verdictOf(409, R"({"reason":"ticket"})") == WorkerVerdict::NoTicket);
+    CHECK(verdictOf(503, "") == WorkerVerdict::Refused);
+}
+
+TEST_CASE("The adviser's answer is decoded, and no answer is told from an empty one")
+{
+    const AdviceTold told
+            = decodeAdvice(AskId(1), 200, R"({"good":[["i-1","c81e"]],"valid_ms":3000})");
+    CHECK(told.answered);
+    REQUIRE(told.good.size() == 1);
+    CHECK(told.good[0].ticket == "c81e");
+    CHECK(told.validity == Milliseconds(3000));
+    CHECK(decodeAdvice(AskId(1), 200, R"({"good":[],"valid_ms":3000})").answered);
+    CHECK_FALSE(decodeAdvice(AskId(1), 429, "").answered);
+    CHECK_FALSE(decodeAdvice(AskId(1), 200, R"({"valid_ms":3000})").answered);
+    CHECK(encodeAdviceAsk({AskId(1), {JobId("5c"), 0, 1}, {WorkerId("i-1")}, {}})
+          == R"({"step":"5c.0.1","workers":["i-1"]})");
+}
+
+TEST_CASE("Callers' calls are decoded with key, host, path and patience")
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/p/5c0e7a21d94b36f8";
+    request.headers
+            = {{"host", "h.example:80"}, {"authorization", "Token k1"}, {"deadline-ms", "500"}};
+    const DecodedCall look = decodeCallerCall(request);
+    const auto &call = std::get<JobCall>(std::get<CellCall>(look.call));
+    CHECK(call.verb == JobVerb::Look);
+    CHECK(call.host == "h.example");
+    CHECK(call.key == ApiKey("k1"));
+    CHECK(look.patience < Milliseconds(500));
+    request.method = "POST";
+    request.body = "{";
+    const DecodedCall submit = decodeCallerCall(request);
+    // What is wrong with the body is told only after the key was checked.
+    CHECK_FALSE(std::get<JobCall>(std::get<CellCall>(submit.call)).spec.has_value());
+    request.method = "PUT";
+    CHECK(std::holds_alternative<CallRefused>(decodeCallerCall(request).call));
+    request.method = "POST";
+    request.path = "/instances/i-1/leave";
+    CHECK(std::holds_alternative<WorkerLeave>(std::get<CellCall>(decodeControlCall(request).call)));
+}
+
+TEST_CASE("Refusals have the platform's status and say when to come back")
+{
+    const auto statusOf = [](Refusal refusal) {
+        return encodeAnswer(CallRefused{refusal, "why", {}}).status;
+    };
+    CHECK(statusOf(Refusal::NoSuchQueue) == 404);
+    CHECK(statusOf(Refusal::UnknownKey) == 401);
+    CHECK(statusOf(Refusal::Malformed) == 400);
+    CHECK(statusOf(Refusal::NoSuchJob) == 410);
+    CHECK(statusOf(Refusal::NotNow) == 503);
+    CHECK(statusOf(Refusal::Unknown) == 504);
+    const HttpResponse busy = encodeAnswer(CallRefused{Refusal::NotNow, "", Milliseconds(1200)});
+    CHECK(busy.headers.at("Retry-After") == "2");
+    CHECK(*encodeAnswer(QueueShown{12}).body == R"({"waiting":12})");
+    CHECK(*encodeAnswer(JobShown{JobState::Running}).body == R"({"state":"running"})");
+}
+
+TEST_CASE("The settings file is decoded, unknown fields are ignored, broken ones refused")
+{
+    const absl::StatusOr<BootFile> boot = decodeBootFile(Boot);
+    REQUIRE(boot.ok());
+    CHECK(boot->control == "10.1.0.19:8180");
+    CHECK(boot->firstPort == 7420);
+    CHECK(boot->seeds.at(1).ip == "10.2.0.17");
+    CHECK(boot->isFirstStart);
+    CHECK(boot->lossesBorne == 2);
+    CHECK(boot->adviser == "10.200.1.9:8182");
+    CHECK_FALSE(decodeBootFile("").ok());
+    CHECK_FALSE(decodeBootFile("[]").ok());
+    CHECK_FALSE(decodeBootFile(replaced(Boot, "[7420,7435]", "[7420]")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(Boot, "[7420,7435]", "[7420,743500]")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(Boot, "10.2.0.17:8180", "10.2.0.17")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(Boot, "\"node\"", "\"nod\"")).ok());
+}
