--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,13 @@
 	@cmake -S . -B $(BUILD)/lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
 	@echo $(filter %.cpp,$(SOURCES)) | xargs -n 3 -P $$(nproc) clang-tidy -p $(BUILD)/lint --quiet 2>/dev/null
 
+# The platform's adapter is known to main alone, so that another platform needs another adapter only.
+.PHONY: layers
+layers:
+	@! grep -rn '#include "platform/' core control drivers servers benchmarks
+	@! grep -rnE '#include "(control|drivers|servers|main)/' core
+	@! grep -rnE '#include "(drivers|servers|main)/' control
+
 clean:
 	@rm -rf $(BUILD)
 
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -18,8 +18,9 @@
 constexpr Milliseconds OrderValidity{400};
 constexpr Milliseconds RetryPause{150};
 constexpr Milliseconds StopPause{400};
-/** A worker that fails so many runs in a row gets no more for a while. */
-constexpr std::uint32_t FailuresInRow = 4;
+/** A worker that fails runs of so many jobs in a row gets no more for a while; one run in fifty
+ * fails on sound workers. */
+constexpr std::uint32_t FailuresInRow = 3;
 /** So many orders in a row without an answer, and the worker gets no new ones. */
 constexpr std::uint32_t SilentOrders = 2;
 constexpr Milliseconds FailingPause{4000};
@@ -507,15 +508,27 @@
         if (end.ending == RunEnding::Done) {
             notePace(now, worker, end);
             worker.failuresInRow = 0;
-        } else if (end.ending == RunEnding::Failed && ++worker.failuresInRow >= FailuresInRow) {
-            worker.avoidUntil = now + FailingPause;
-            out.add(LogLine{true, life.worker.value(), "fails all runs; avoided for a while"});
+        } else if (end.ending == RunEnding::Failed) {
+            noteFailure(now, worker, end.task.step.job, out);
         }
         apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
         m_decisions.notedEnds[life] = end.number;
     }
 }
 
+void CellLeader::noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
+{
+    if (worker.lastFailed == job && worker.failuresInRow > 0)
+        return;
+    worker.lastFailed = job;
+    if (++worker.failuresInRow < FailuresInRow)
+        return;
+    worker.avoidUntil = now + FailingPause;
+    out.add(LogLine{true, worker.report.life.worker.value(),
+                    absl::StrCat("avoided for a while: runs of jobs that failed in a row=",
+                                 worker.failuresInRow)});
+}
+
 void CellLeader::notePace(Instant now, PooledWorker &worker, const EndListed &end)
 {
     const auto run = worker.runs.find(end.task);
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -124,6 +124,7 @@
     void holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
     void takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
                   Outbox &out);
+    static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
     void notePace(Instant now, PooledWorker &worker, const EndListed &end);
     void takeRunning(Instant now, PooledWorker &worker, const Call &call,
                      const WorkerAnswer &answer, Outbox &out);
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t Percent = 100;
 /** Outweighs data in another rack: a slow worker is used only when no other has room. */
 constexpr std::int64_t SlowWorkerCost = 10'000'000;
+/** A task goes to a slow worker before it goes where it has failed. */
+constexpr std::int64_t FailedWorkerCost = 20'000'000;
 
 const Occurrence &occurrenceOf(const StepRef &ref, const Job &job)
 {
@@ -144,10 +146,12 @@
     for (const std::uint32_t index : idleTasks(ref, job)) {
         if (!isWithinCap(job.terms.team, step.each))
             return;
-        const PooledWorker *const worker = choose(now, ref, job, nullptr, {});
+        const TaskProgress &task = occurrenceOf(ref, job).steps[ref.step][index];
+        // Whether the task or its worker is at fault shows on another worker.
+        const WorkerLife *const failedOn = task.failures > 0 ? &task.worker : nullptr;
+        const PooledWorker *const worker = choose(now, ref, job, {nullptr, failedOn, {}});
         if (worker == nullptr)
             return;
-        const TaskProgress &task = occurrenceOf(ref, job).steps[ref.step][index];
         const WorkerLife life = worker->report.life;
         sink.startDecided({ref, index}, task.lastRun.next(), life, ticketOf(now, ref, job, life));
     }
@@ -191,7 +195,7 @@
     std::map<WorkerLife, std::uint32_t> planned;
     places.clear();
     while (places.size() < step.count) {
-        PooledWorker *const worker = choose(now, ref, job, rack, planned);
+        PooledWorker *const worker = choose(now, ref, job, {rack, nullptr, planned});
         if (worker == nullptr)
             break;
         places.push_back(worker->report.life);
@@ -205,8 +209,7 @@
 }
 
 PooledWorker *StartPlanner::choose(Instant now, const StepRef &ref, const Job &job,
-                                   const RackId *rack,
-                                   const std::map<WorkerLife, std::uint32_t> &planned)
+                                   const Limits &limits)
 {
     const StepSpec &step = job.spec.steps[ref.step];
     const auto spread = m_spread.find(ref);
@@ -216,11 +219,11 @@
         if (worker.report.pool != job.terms.pool || !WorkerPool::isUsable(worker, now)
             || !mayRunOn(worker, step))
             continue;
-        if (rack != nullptr && worker.report.rack != *rack)
+        if (limits.rack != nullptr && worker.report.rack != *limits.rack)
             continue;
         if (step.mostPerWorker > 0) {
-            const auto more = planned.find(life);
-            std::uint32_t here = more == planned.end() ? 0 : more->second;
+            const auto more = limits.planned.find(life);
+            std::uint32_t here = more == limits.planned.end() ? 0 : more->second;
             if (spread != m_spread.end() && spread->second.contains(life))
                 here += spread->second.at(life);
             if (here >= step.mostPerWorker)
@@ -231,6 +234,8 @@
         std::int64_t cost = m_choice->cost(worker, step);
         if (isSlow(worker.pace, m_pool.usualPace()))
             cost += SlowWorkerCost;
+        if (limits.failedOn != nullptr && *limits.failedOn == life)
+            cost += FailedWorkerCost;
         if (best == nullptr || cost < bestCost) {
             best = &worker;
             bestCost = cost;
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -50,6 +50,17 @@
     void plan(Instant now, StartSink &sink, Outbox &out);
 
 private:
+    /** What else holds for the worker of one task. */
+    struct Limits
+    {
+        /** The only rack that will do; null for any. */
+        const RackId *rack = nullptr;
+        /** Where the task has failed last; null if it has not. */
+        const WorkerLife *failedOn = nullptr;
+        /** Tasks of the same step that are about to start, by worker. */
+        std::map<WorkerLife, std::uint32_t> planned;
+    };
+
     void planStep(Instant now, const ReadyStep &ready, StartSink &sink, Outbox &out);
     void planTasks(Instant now, const StepRef &ref, const Job &job, StartSink &sink);
     void planGang(Instant now, const StepRef &ref, const Job &job, StartSink &sink);
@@ -57,8 +68,7 @@
                    std::vector<WorkerLife> &places);
     void askAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out);
     [[nodiscard]] PooledWorker *choose(Instant now, const StepRef &ref, const Job &job,
-                                       const RackId *rack,
-                                       const std::map<WorkerLife, std::uint32_t> &planned);
+                                       const Limits &limits);
     [[nodiscard]] bool isWithinCap(const TeamId &team, const Resources &more) const;
     [[nodiscard]] std::string ticketOf(Instant now, const StepRef &ref, const Job &job,
                                        const WorkerLife &life) const;
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -61,6 +61,8 @@
     std::uint32_t silentOrders = 0;
     /** Failed runs since the last that was done. */
     std::uint32_t failuresInRow = 0;
+    /** Whose run failed last: one job that can't be done says nothing of the worker. */
+    JobId lastFailed;
     Instant avoidUntil;
     WorkerPace pace;
 
--- a/tests/control/jobs/advice_desk_test.cpp
+++ b/tests/control/jobs/advice_desk_test.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const AdviceTerms ShortTerms{19'000, 280, Milliseconds(2500)};
-const AdviceTerms LongTerms{370'000, 5'300, Milliseconds(2500)};
+const AdviceTerms shortTerms{19'000, 280, Milliseconds(2500)};
+const AdviceTerms longTerms{370'000, 5'300, Milliseconds(2500)};
 
 struct Desk
 {
@@ -49,16 +49,16 @@
 {
     // Pattern: hosts of the system are killed while they ask; urgent steps waited 1.5 s for them.
     Desk bench;
-    const auto [first, id] = bench.ask(makeStepRef(1), ShortTerms);
-    CHECK_FALSE(bench.desk.mayAsk(bench.now, makeStepRef(1), ShortTerms));
+    const auto [first, id] = bench.ask(makeStepRef(1), shortTerms);
+    CHECK_FALSE(bench.desk.mayAsk(bench.now, makeStepRef(1), shortTerms));
     Milliseconds waited;
-    while (!bench.desk.mayAsk(bench.now, makeStepRef(1), ShortTerms)) {
+    while (!bench.desk.mayAsk(bench.now, makeStepRef(1), shortTerms)) {
         bench.now = bench.now + Milliseconds(50);
         waited += Milliseconds(50);
         bench.desk.tick(bench.now, bench.out);
         REQUIRE(waited < Milliseconds(500));
     }
-    CHECK(bench.ask(makeStepRef(1), ShortTerms).first != first);
+    CHECK(bench.ask(makeStepRef(1), shortTerms).first != first);
     // The late answer changes nothing.
     bench.desk.receive(bench.now, {id, true, {{WorkerId("w"), "late"}}, Milliseconds(2500)},
                        bench.out);
@@ -70,14 +70,14 @@
     // Pattern: a burst of large jobs; each of their steps keeps the adviser busy for half a second.
     Desk bench;
     int asked = 0;
-    while (asked < 10 && bench.desk.mayAsk(bench.now, makeStepRef(asked), LongTerms))
-        bench.ask(makeStepRef(asked++), LongTerms);
+    while (asked < 10 && bench.desk.mayAsk(bench.now, makeStepRef(asked), longTerms))
+        bench.ask(makeStepRef(asked++), longTerms);
     CHECK(asked >= 2);
     CHECK(asked < 6);
     std::set<std::string> hosts;
     for (int number = 20; number < 22; ++number) {
-        REQUIRE(bench.desk.mayAsk(bench.now, makeStepRef(number), ShortTerms));
-        hosts.insert(bench.ask(makeStepRef(number), ShortTerms).first);
+        REQUIRE(bench.desk.mayAsk(bench.now, makeStepRef(number), shortTerms));
+        hosts.insert(bench.ask(makeStepRef(number), shortTerms).first);
     }
     CHECK(hosts.size() == 2);
 }
@@ -86,14 +86,14 @@
 {
     Desk bench;
     const StepRef step = makeStepRef(1);
-    const AskId ask = bench.ask(step, ShortTerms).second;
+    const AskId ask = bench.ask(step, shortTerms).second;
     bench.desk.receive(bench.now, {ask, true, {{WorkerId("w"), "t"}}, Milliseconds(2500)},
                        bench.out);
     REQUIRE(bench.desk.ticket(bench.now, step, WorkerId("w")) != nullptr);
     CHECK(bench.desk.ticket(bench.now + Milliseconds(2400), step, WorkerId("w")) == nullptr);
     bench.desk.drop(step, WorkerId("w"));
     CHECK(bench.desk.ticket(bench.now, step, WorkerId("w")) == nullptr);
-    const AskId empty = bench.ask(step, ShortTerms).second;
+    const AskId empty = bench.ask(step, shortTerms).second;
     bench.desk.receive(bench.now, {empty, true, {}, Milliseconds(2500)}, bench.out);
     CHECK(bench.desk.isBad(step, WorkerId("w")));
 }
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-const std::string JobA = "00000000000000aa";
-const std::string JobB = "00000000000000bb";
+const std::string jobA = "00000000000000aa";
+const std::string jobB = "00000000000000bb";
 
 bool isRefused(const CallAnswer &answer, Refusal refusal)
 {
@@ -42,19 +42,19 @@
 TEST_CASE("A job runs from its submission to its end, and a resend changes nothing")
 {
     LeaderBench bench;
-    CHECK(isRefused(bench.submit(JobA, {makeStep(1, 100)}), Refusal::NotNow));
+    CHECK(isRefused(bench.submit(jobA, {makeStep(1, 100)}), Refusal::NotNow));
     bench.configure();
     bench.beat("w");
-    CHECK(isDone(bench.submit(JobA, {makeStep(1, 100)})));
-    CHECK(isDone(bench.submit(JobA, {makeStep(9, 100)})));
+    CHECK(isDone(bench.submit(jobA, {makeStep(1, 100)})));
+    CHECK(isDone(bench.submit(jobA, {makeStep(9, 100)})));
     const std::vector<CallWorker> starts = bench.takeStarts();
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].fence == Fence(5));
     CHECK(starts[0].leaseUntil > 10'000);
     bench.answer(starts[0], WorkerVerdict::Done);
-    CHECK(stateOf(bench.look(JobA)) == JobState::Running);
-    bench.answerHold("w", {}, {ended(1, JobA, 0, 1, RunEnding::Done)});
-    CHECK(stateOf(bench.look(JobA)) == JobState::Completed);
+    CHECK(stateOf(bench.look(jobA)) == JobState::Running);
+    bench.answerHold("w", {}, {ended(1, jobA, 0, 1, RunEnding::Done)});
+    CHECK(stateOf(bench.look(jobA)) == JobState::Completed);
     CHECK(bench.takeStarts().empty());
 }
 
@@ -62,15 +62,15 @@
 {
     LeaderBench bench;
     bench.configure();
-    CHECK(isRefused(bench.submit(JobA, {makeStep(1, 100)}, "other"), Refusal::UnknownKey));
+    CHECK(isRefused(bench.submit(jobA, {makeStep(1, 100)}, "other"), Refusal::UnknownKey));
     CHECK(isRefused(bench.submit("short", {makeStep(1, 100)}), Refusal::Malformed));
-    CHECK(isRefused(bench.submit(JobA, {}), Refusal::Malformed));
-    CHECK(isRefused(bench.submit(JobA, {makeStep(1, 100, {0})}), Refusal::Malformed));
-    CHECK(isRefused(bench.look(JobA), Refusal::NoSuchJob));
+    CHECK(isRefused(bench.submit(jobA, {}), Refusal::Malformed));
+    CHECK(isRefused(bench.submit(jobA, {makeStep(1, 100, {0})}), Refusal::Malformed));
+    CHECK(isRefused(bench.look(jobA), Refusal::NoSuchJob));
     CHECK(isRefused(bench.call(JobCall{JobVerb::Look, "h", "/x/", ApiKey("key-of-alpha"), {}, {}}),
                     Refusal::NoSuchQueue));
     // The key goes before the body.
-    CHECK(isRefused(bench.call(JobCall{JobVerb::Submit, "h", "/q/" + JobA, {}, {}, "not JSON"}),
+    CHECK(isRefused(bench.call(JobCall{JobVerb::Submit, "h", "/q/" + jobA, {}, {}, "not JSON"}),
                     Refusal::UnknownKey));
 }
 
@@ -82,7 +82,7 @@
     bench.configure(cap);
     bench.beat("v");
     bench.beat("w");
-    bench.submit(JobA, {makeStep(8, 300)});
+    bench.submit(jobA, {makeStep(8, 300)});
     // Three fit on a worker, and the cap allows four.
     CHECK(bench.takeStarts().size() == 4);
     bench.pass(500);
@@ -94,7 +94,7 @@
     LeaderBench bench;
     bench.configure();
     bench.beat("v");
-    bench.submit(JobA, {makeStep(1, 100)});
+    bench.submit(jobA, {makeStep(1, 100)});
     std::vector<CallWorker> starts = bench.takeStarts();
     REQUIRE(starts.size() == 1);
     bench.answer(starts[0], WorkerVerdict::NoAnswer);
@@ -111,7 +111,7 @@
     LeaderBench bench;
     bench.configure();
     bench.beat("v");
-    bench.submit(JobA, {makeStep(1, 100)});
+    bench.submit(jobA, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoAnswer);
     bench.pass(200);
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoRoom);
@@ -134,13 +134,13 @@
     LeaderBench bench;
     bench.configure();
     bench.beat("v");
-    bench.submit(JobA, {makeStep(1, 100)});
+    bench.submit(jobA, {makeStep(1, 100)});
     for (int refusals = 0; refusals < 4; ++refusals) {
         const std::vector<CallWorker> starts = bench.takeStarts();
         REQUIRE(starts.size() == 1);
         bench.answer(starts[0], WorkerVerdict::NoRoom);
     }
-    CHECK(stateOf(bench.look(JobA)) == JobState::Running);
+    CHECK(stateOf(bench.look(jobA)) == JobState::Running);
 }
 
 TEST_CASE("A cancelled job's runs are stopped and nothing of it starts")
@@ -148,18 +148,18 @@
     LeaderBench bench;
     bench.configure();
     bench.beat("w");
-    bench.submit(JobA, {makeStep(2, 600)});
+    bench.submit(jobA, {makeStep(2, 600)});
     const std::vector<CallWorker> starts = bench.takeStarts();
     REQUIRE(starts.size() == 1);
     bench.answer(starts[0], WorkerVerdict::Done);
-    CHECK(isDone(bench.look(JobA, JobVerb::Cancel)));
-    CHECK(stateOf(bench.look(JobA)) == JobState::Cancelled);
+    CHECK(isDone(bench.look(jobA, JobVerb::Cancel)));
+    CHECK(stateOf(bench.look(jobA)) == JobState::Cancelled);
     bench.pass(200);
     REQUIRE(bench.takeStops().size() == 1);
-    bench.answerHold("w", {}, {ended(1, JobA, 0, 1, RunEnding::Stopped)});
+    bench.answerHold("w", {}, {ended(1, jobA, 0, 1, RunEnding::Stopped)});
     bench.pass(1000);
     CHECK(bench.takeStarts().empty());
-    CHECK(isDone(bench.look(JobA, JobVerb::Cancel)));
+    CHECK(isDone(bench.look(jobA, JobVerb::Cancel)));
 }
 
 TEST_CASE("A draining worker gets nothing new, also when an earlier beat comes late")
@@ -168,7 +168,7 @@
     bench.configure();
     bench.beat("w", 1, true);
     bench.beat("w", 1, false);
-    bench.submit(JobA, {makeStep(1, 100)});
+    bench.submit(jobA, {makeStep(1, 100)});
     CHECK(bench.takeStarts().empty());
 }
 
@@ -177,7 +177,7 @@
     LeaderBench bench;
     bench.configure();
     bench.beat("w", 1);
-    bench.submit(JobA, {makeStep(1, 100)});
+    bench.submit(jobA, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.beat("w", 2);
     const std::vector<CallWorker> starts = bench.takeStarts();
@@ -194,17 +194,17 @@
     LeaderBench first;
     first.configure();
     first.beat("w");
-    first.submit(JobA, {makeStep(2, 100)});
+    first.submit(jobA, {makeStep(2, 100)});
     for (const CallWorker &start : first.takeStarts())
         first.answer(start, WorkerVerdict::Done);
 
     LeaderBench second(first.leader().book());
     second.beat("w");
     CHECK(second.takeStarts().empty());
-    second.answerHold("w", {listed(JobA, 0, 1)});
+    second.answerHold("w", {listed(jobA, 0, 1)});
     const std::vector<CallWorker> starts = second.takeStarts();
     REQUIRE(starts.size() == 1);
-    CHECK(std::get<OrderStart>(starts[0].order).task == makeTask(JobA, 0, 1));
+    CHECK(std::get<OrderStart>(starts[0].order).task == makeTask(jobA, 0, 1));
     CHECK(std::get<OrderStart>(starts[0].order).run == RunNumber(2));
 }
 
@@ -214,7 +214,7 @@
     bench.configure();
     bench.pass(8000); // Past what an earlier leader may have granted.
     bench.beat("v");
-    bench.submit(JobA, {makeStep(1, 100)});
+    bench.submit(jobA, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.pass(200);
     const std::optional<CallWorker> hold = bench.takeHold("v");
@@ -243,31 +243,55 @@
     LeaderBench bench;
     bench.configure();
     bench.beat("w");
-    bench.submit(JobA, {makeStep(2, 100)});
+    bench.submit(jobA, {makeStep(2, 100)});
     for (const CallWorker &start : bench.takeStarts())
         bench.answer(start, WorkerVerdict::Done);
-    bench.answerHold("w", {listed(JobA, 1, 1)}, {ended(7, JobA, 0, 1, RunEnding::Done)});
+    bench.answerHold("w", {listed(jobA, 1, 1)}, {ended(7, jobA, 0, 1, RunEnding::Done)});
     bench.pass(200);
     const std::optional<CallWorker> hold = bench.takeHold("w");
     REQUIRE(hold.has_value());
     CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(7));
 }
 
-TEST_CASE("A worker that fails all it starts is avoided for a while")
+TEST_CASE("A failed task is tried on another worker")
+{
+    // Pattern: workers that fail all they start take a job's last attempt.
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("bad");
+    bench.submit(jobA, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.beat("good");
+    bench.submit(jobB, {makeStep(1, 300)});
+    for (const CallWorker &start : bench.takeStarts())
+        bench.answer(start, WorkerVerdict::Done);
+    // The fullest worker goes first otherwise, which is the one that failed.
+    bench.answerHold("bad", {}, {ended(1, jobA, 0, 1, RunEnding::Failed)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(std::get<OrderStart>(starts[0].order).task == makeTask(jobA, 0, 0));
+    CHECK(starts[0].life.worker.value() == "good");
+}
+
+TEST_CASE("A worker that fails runs of several jobs is avoided; one bad job says nothing of it")
 {
     LeaderBench bench;
     bench.configure();
     bench.beat("bad");
     std::uint64_t number = 0;
-    for (const std::string &job : {JobA, JobB}) {
+    const auto failTwice = [&](const std::string &job) {
         bench.submit(job, {makeStep(1, 1000)});
         for (std::uint64_t run = 1; run <= 2; ++run) {
             bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
             bench.answerHold("bad", {}, {ended(++number, job, 0, run, RunEnding::Failed)});
         }
         CHECK(stateOf(bench.look(job)) == JobState::Failed);
-    }
+    };
+    failTwice(jobA);
+    failTwice(jobB);
     bench.submit("00000000000000cc", {makeStep(1, 1000)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.answerHold("bad", {}, {ended(++number, "00000000000000cc", 0, 1, RunEnding::Failed)});
     CHECK(bench.takeStarts().empty());
     bench.beat("good");
     const std::vector<CallWorker> starts = bench.takeStarts();
@@ -281,7 +305,7 @@
     bench.configure({}, AdviceTerms{19'000, 280, Milliseconds(2500)});
     bench.beat("v");
     bench.beat("w");
-    bench.submit(JobA, {makeStep(2, 600)});
+    bench.submit(jobA, {makeStep(2, 600)});
     CHECK(bench.takeStarts().empty());
     const std::vector<AdviceAsk> asks = bench.takeAsks();
     REQUIRE(asks.size() == 1);
@@ -292,7 +316,7 @@
     CHECK(starts[0].life.worker.value() == "w");
     CHECK(std::get<OrderStart>(starts[0].order).ticket == "ticket-w");
     bench.answer(starts[0], WorkerVerdict::Done);
-    bench.answerHold("w", {listed(JobA, 0, 1)});
+    bench.answerHold("w", {listed(jobA, 0, 1)});
     CHECK(bench.takeAsks().empty());
     bench.pass(2400);
     bench.beat("w");
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const std::string Document
+const std::string documentText
         = R"({"version":7,"routes":[{"name":"r-1","host":"h.example","path_prefix":"/p/",)"
           R"("kind":"unsafe","timeout_ms":3000,"target_runtime_ms":1200,"priority":2,)"
           R"("service":"s","max_attempts":3,"stretch":2.2,)"
@@ -22,12 +22,12 @@
           R"("limits":{"max_header_bytes":16384},"tenants":[{"name":"t","api_keys":["k1","k2"],)"
           R"("priority":1,"weight":10,"cap":{"cpu":834733,"mem_mb":1103433,"gpu":0}}]})";
 
-const std::string Beat
+const std::string beatText
         = R"({"service":"s","addr":"10.128.0.9:8080","zone":"hobart","version":"v1","slots":8,)"
           R"("state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},)"
           R"("labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":1790000000000})";
 
-const std::string Boot
+const std::string bootText
         = R"({"node":"core-1","ip":"10.1.0.19","zone":"hobart","listen":{"control":"10.1.0.19:8180"},)"
           R"("port_range":[7420,7435],"seeds":["10.1.0.19:8180","10.2.0.17:8180"],"bootstrap":true,)"
           R"("data_dir":"/data/x","advice":"10.200.1.9:8182","fault_tolerance":{"machines":2},)"
@@ -53,10 +53,10 @@
 TEST_CASE("A configuration is decoded into what its fields hold")
 {
     std::string defect;
-    const std::optional<ConfigDocument> document = decodeDocument(Document, defect);
+    const std::optional<ConfigDocument> document = decodeDocument(documentText, defect);
     REQUIRE(document.has_value());
     CHECK(document->version == DocumentVersion(7));
-    CHECK(document->source == Document);
+    CHECK(document->source == documentText);
     const QueueConfig &queue = document->queues.at(0);
     CHECK(queue.queue == QueueId("r-1"));
     CHECK(queue.pathPrefix == "/p/");
@@ -71,16 +71,16 @@
 
 TEST_CASE("A configuration that can't be read in full is refused")
 {
-    CHECK(isReadDocument(Document));
-    for (std::size_t size = 0; size < Document.size(); size += 7)
-        CHECK_FALSE(isReadDocument(Document.substr(0, size)));
-    CHECK_FALSE(isReadDocument(replaced(Document, "\"version\":7", "\"version\":\"7\"")));
-    CHECK_FALSE(isReadDocument(replaced(Document, "\"version\":7", "\"version\":-7")));
-    CHECK_FALSE(isReadDocument(replaced(Document, "\"version\":7", "\"other\":7")));
-    CHECK_FALSE(isReadDocument(replaced(Document, "\"timeout_ms\":3000", "\"timeout_ms\":-1")));
-    CHECK_FALSE(isReadDocument(replaced(Document, "\"service\":\"s\"", "\"service\":[]")));
-    CHECK_FALSE(isReadDocument(replaced(Document, "[\"k1\",\"k2\"]", "[\"k1\",2]")));
-    CHECK_FALSE(isReadDocument(replaced(Document, "\"cpu\":834733", "\"cpu\":1e99")));
+    CHECK(isReadDocument(documentText));
+    for (std::size_t size = 0; size < documentText.size(); size += 7)
+        CHECK_FALSE(isReadDocument(documentText.substr(0, size)));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"version\":7", "\"version\":\"7\"")));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"version\":7", "\"version\":-7")));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"version\":7", "\"other\":7")));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"timeout_ms\":3000", "\"timeout_ms\":-1")));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"service\":\"s\"", "\"service\":[]")));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "[\"k1\",\"k2\"]", "[\"k1\",2]")));
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"cpu\":834733", "\"cpu\":1e99")));
     CHECK_FALSE(isReadDocument(std::string(100'000, '[')));
 }
 
@@ -128,7 +128,7 @@
 
 TEST_CASE("A heartbeat names a worker only if it can be relied on")
 {
-    const std::optional<WorkerBeat> beat = decodeBeat("i-1", Beat);
+    const std::optional<WorkerBeat> beat = decodeBeat("i-1", beatText);
     REQUIRE(beat.has_value());
     CHECK(beat->report.life == WorkerLife{WorkerId("i-1"), Milliseconds(1790000000000)});
     CHECK(beat->report.rack == RackId("r1-3"));
@@ -136,13 +136,13 @@
     CHECK(beat->clock == 482113);
     CHECK(beat->sequence == 4);
     CHECK_FALSE(beat->report.isDraining);
-    CHECK(decodeBeat("i-1", replaced(Beat, "ready", "draining"))->report.isDraining);
-    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "ready", "dreaming")).has_value());
-    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "\"addr\"", "\"adr\"")).has_value());
-    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "\"seq\":4", "\"seq\":\"4\"")).has_value());
-    CHECK_FALSE(decodeBeat("i-1", replaced(Beat, "[\"a\"", "[3")).has_value());
+    CHECK(decodeBeat("i-1", replaced(beatText, "ready", "draining"))->report.isDraining);
+    CHECK_FALSE(decodeBeat("i-1", replaced(beatText, "ready", "dreaming")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", replaced(beatText, "\"addr\"", "\"adr\"")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", replaced(beatText, "\"seq\":4", "\"seq\":\"4\"")).has_value());
+    CHECK_FALSE(decodeBeat("i-1", replaced(beatText, "[\"a\"", "[3")).has_value());
     CHECK_FALSE(decodeBeat("i-1", "\xff\xfe").has_value());
-    CHECK_FALSE(decodeBeat("", Beat).has_value());
+    CHECK_FALSE(decodeBeat("", beatText).has_value());
 }
 
 TEST_CASE("Orders are written as the platform reads them")
@@ -251,7 +251,7 @@
 
 TEST_CASE("The settings file is decoded, unknown fields are ignored, broken ones refused")
 {
-    const absl::StatusOr<BootFile> boot = decodeBootFile(Boot);
+    const absl::StatusOr<BootFile> boot = decodeBootFile(bootText);
     REQUIRE(boot.ok());
     CHECK(boot->control == "10.1.0.19:8180");
     CHECK(boot->firstPort == 7420);
@@ -261,8 +261,8 @@
     CHECK(boot->adviser == "10.200.1.9:8182");
     CHECK_FALSE(decodeBootFile("").ok());
     CHECK_FALSE(decodeBootFile("[]").ok());
-    CHECK_FALSE(decodeBootFile(replaced(Boot, "[7420,7435]", "[7420]")).ok());
-    CHECK_FALSE(decodeBootFile(replaced(Boot, "[7420,7435]", "[7420,743500]")).ok());
-    CHECK_FALSE(decodeBootFile(replaced(Boot, "10.2.0.17:8180", "10.2.0.17")).ok());
-    CHECK_FALSE(decodeBootFile(replaced(Boot, "\"node\"", "\"nod\"")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(bootText, "[7420,7435]", "[7420]")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(bootText, "[7420,7435]", "[7420,743500]")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(bootText, "10.2.0.17:8180", "10.2.0.17")).ok());
+    CHECK_FALSE(decodeBootFile(replaced(bootText, "\"node\"", "\"nod\"")).ok());
 }
