Split the leader: calls of callers and operators have a desk of their own

Change: CallDesk out of CellLeader behind DecisionSink; opening of a host's store and the report of settings errors stand once in main. Behaviour stays.

--- /dev/null
+++ b/control/jobs/call_desk.cpp
@@ -0,0 +1,178 @@
+#include "control/jobs/call_desk.h"
+
+#include "control/jobs/config_rules.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace gentiancross {
+
+namespace {
+
+constexpr std::size_t JobIdLength = 16;
+/** No job of a caller holds more tasks; it bounds what one call can make the leader do. */
+constexpr std::uint64_t MostTasks = 20'000;
+
+/** Why the job can't be run as it is described; nothing if it can. */
+std::optional<std::string> defectOf(const JobSpec &spec)
+{
+    if (spec.steps.empty())
+        return "the job has no steps";
+    std::uint64_t tasks = 0;
+    for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
+        const StepSpec &step = spec.steps[number];
+        tasks += step.count;
+        if (step.count == 0)
+            return absl::StrCat("step ", number, " has no tasks");
+        for (const std::uint32_t earlier : step.after) {
+            if (earlier >= number)
+                return absl::StrCat("step ", number, " waits for step ", earlier,
+                                    ", which is not before it");
+        }
+    }
+    if (tasks > MostTasks)
+        return absl::StrCat("the job has more than ", MostTasks, " tasks");
+    return std::nullopt;
+}
+
+bool isJobId(const std::string &text)
+{
+    return text.size() == JobIdLength
+            && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+} // namespace
+
+CallDesk::CallDesk(const JobBookData &book, DecisionSink &sink)
+    : m_book(book)
+    , m_sink(sink)
+{}
+
+void CallDesk::jobChanged(const JobId &id, const Job &job)
+{
+    if (job.state == JobState::Queued)
+        m_waiting[job.terms.queue].insert(id);
+    else
+        m_waiting[job.terms.queue].erase(id);
+}
+
+void CallDesk::refuse(const CallOrigin &origin, Refusal refusal, std::string reason)
+{
+    m_sink.answer(origin, CallRefused{refusal, std::move(reason), {}});
+}
+
+void CallDesk::take(Milliseconds wall, const CallOrigin &origin, const JobCall &call, Outbox &out)
+{
+    if (!m_book.document.has_value()) {
+        refuse(origin, Refusal::NotNow, "there is no configuration yet");
+        return;
+    }
+    const ConfigDocument &document = *m_book.document;
+    const std::optional<QueueMatch> match = configrules::findQueue(document, call.host, call.path);
+    if (!match.has_value()) {
+        refuse(origin, Refusal::NoSuchQueue, "no queue has this address");
+        return;
+    }
+    const TeamConfig *const team
+            = call.key.has_value() ? configrules::findTeam(document, *call.key) : nullptr;
+    if (team == nullptr && !match->queue->isPublic) {
+        refuse(origin, Refusal::UnknownKey, "the key is missing or unknown");
+        return;
+    }
+    if (call.verb == JobVerb::Submit) {
+        submit(wall, origin, call, *match->queue, team == nullptr ? TeamId() : team->team,
+               match->rest, out);
+        return;
+    }
+    if (match->rest.empty()) {
+        m_sink.answer(origin, QueueShown{waitingIn(match->queue->queue)});
+        return;
+    }
+    const auto found = m_book.jobs.find(JobId(match->rest));
+    if (found == m_book.jobs.end() || found->second.terms.queue != match->queue->queue) {
+        refuse(origin, Refusal::NoSuchJob, "there is no such job");
+        return;
+    }
+    if (call.verb == JobVerb::Look)
+        m_sink.answer(origin, JobShown{found->second.state});
+    else
+        cancel(origin, found->first, found->second, out);
+}
+
+std::uint64_t CallDesk::waitingIn(const QueueId &queue) const
+{
+    const auto found = m_waiting.find(queue);
+    return found == m_waiting.end() ? 0 : found->second.size();
+}
+
+void CallDesk::submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
+                      const QueueConfig &queue, const TeamId &team, const std::string &id,
+                      Outbox &out)
+{
+    if (!isJobId(id)) {
+        refuse(origin, Refusal::Malformed, "a job's name has 16 hexadecimal digits");
+        return;
+    }
+    if (m_book.jobs.contains(JobId(id))) {
+        m_sink.answer(origin, CallDone{});
+        return;
+    }
+    const std::optional<std::string> defect
+            = call.spec.has_value() ? defectOf(*call.spec) : call.defect;
+    if (defect.has_value()) {
+        out.note(id, absl::StrCat("job refused: ", *defect));
+        refuse(origin, Refusal::Malformed, *defect);
+        return;
+    }
+    JobAccepted record;
+    record.id = JobId(id);
+    record.terms = {queue.queue,           queue.pool,         team,
+                    queue.priority,        queue.mostAttempts, queue.allowance,
+                    queue.stretchPermille, queue.advice};
+    record.spec = *call.spec;
+    record.acceptedAt = wall;
+    out.note(id,
+             absl::StrCat("job accepted: queue=", queue.queue.value(), " team=", team.value(),
+                          " steps=", record.spec.steps.size(),
+                          " config=", m_book.document->version.value()));
+    m_sink.apply(std::move(record));
+    m_sink.answer(origin, CallDone{});
+}
+
+void CallDesk::cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out)
+{
+    if (!job.isOver()) {
+        out.note(id.value(), "job cancelled by its team");
+        m_sink.apply(JobCancelled{id});
+    }
+    m_sink.answer(origin, CallDone{});
+}
+
+void CallDesk::take(const CallOrigin &origin, const PutDocument &call, Outbox &out)
+{
+    const std::optional<std::string> defect
+            = call.document.has_value() ? configrules::defectOf(*call.document) : call.defect;
+    if (defect.has_value()) {
+        out.note("configuration", "refused: " + *defect);
+        refuse(origin, Refusal::Malformed, *defect);
+        return;
+    }
+    const DocumentVersion held
+            = m_book.document.has_value() ? m_book.document->version : DocumentVersion();
+    if (!m_book.document.has_value() || call.document->version > held) {
+        out.note("configuration",
+                 absl::StrCat("accepted: version=", call.document->version.value(),
+                              " replaces=", held.value()));
+        m_sink.apply(DocumentAccepted{*call.document});
+    }
+    m_sink.answer(origin, CallDone{});
+}
+
+void CallDesk::take(const CallOrigin &origin, const GetDocument &)
+{
+    if (m_book.document.has_value())
+        m_sink.answer(origin, DocumentShown{m_book.document->source});
+    else
+        refuse(origin, Refusal::NotNow, "there is no configuration yet");
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/call_desk.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "control/outbox.h"
+#include "core/job_calls.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace gentiancross {
+
+/** Where a call came in: the host that holds the caller's connection, and its exchange there. */
+struct CallOrigin
+{
+    HostId host;
+    ExchangeId exchange;
+};
+
+/** Takes what was decided on calls. */
+class DecisionSink
+{
+public:
+    DecisionSink() = default;
+    DecisionSink(const DecisionSink &) = delete;
+    DecisionSink &operator=(const DecisionSink &) = delete;
+    virtual ~DecisionSink() = default;
+
+    /** Changes the book, and the log with the next entry. */
+    virtual void apply(JobRecord record) = 0;
+    /** Answers a call once all that was applied so far is durable. */
+    virtual void answer(const CallOrigin &origin, CallAnswer answer) = 0;
+};
+
+/**
+ * Decides the calls of callers and operators by the newest configuration. Thread safety: owned by
+ * the control thread.
+ */
+class CallDesk
+{
+public:
+    /** Both must outlive this object. */
+    CallDesk(const JobBookData &book, DecisionSink &sink);
+
+    void take(Milliseconds wall, const CallOrigin &origin, const JobCall &call, Outbox &out);
+    void take(const CallOrigin &origin, const PutDocument &call, Outbox &out);
+    void take(const CallOrigin &origin, const GetDocument &call);
+    /** Counts the job as waiting or not. */
+    void jobChanged(const JobId &id, const Job &job);
+
+private:
+    void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
+                const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
+    void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
+    void refuse(const CallOrigin &origin, Refusal refusal, std::string reason);
+    [[nodiscard]] std::uint64_t waitingIn(const QueueId &queue) const;
+
+    const JobBookData &m_book;
+    DecisionSink &m_sink;
+    /** Accepted jobs of which no task has started. */
+    std::map<QueueId, std::set<JobId>> m_waiting;
+};
+
+} // namespace gentiancross
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -1,7 +1,5 @@
 #include "control/jobs/cell_leader.h"
 
-#include "control/jobs/config_rules.h"
-
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -25,9 +23,6 @@
 constexpr std::uint32_t SilentOrders = 2;
 constexpr Milliseconds FailingPause{4000};
 constexpr Milliseconds RefusedPause{600};
-constexpr std::size_t JobIdLength = 16;
-/** No job of a caller holds more tasks; it bounds what one call can make the leader do. */
-constexpr std::uint64_t MostTasks = 20'000;
 std::string nameOf(const JobTaskRef &task)
 {
     return absl::StrCat(task.step.job.value(), ".", task.step.occurrence, ".", task.step.step, ".",
@@ -57,39 +52,6 @@
     return "";
 }
 
-void note(Outbox &out, const std::string &subject, std::string what)
-{
-    out.add(LogLine{false, subject, std::move(what)});
-}
-
-/** Why the job can't be run as it is described; nothing if it can. */
-std::optional<std::string> defectOf(const JobSpec &spec)
-{
-    if (spec.steps.empty())
-        return "the job has no steps";
-    std::uint64_t tasks = 0;
-    for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
-        const StepSpec &step = spec.steps[number];
-        tasks += step.count;
-        if (step.count == 0)
-            return absl::StrCat("step ", number, " has no tasks");
-        for (const std::uint32_t earlier : step.after) {
-            if (earlier >= number)
-                return absl::StrCat("step ", number, " waits for step ", earlier,
-                                    ", which is not before it");
-        }
-    }
-    if (tasks > MostTasks)
-        return absl::StrCat("the job has more than ", MostTasks, " tasks");
-    return std::nullopt;
-}
-
-bool isJobId(const std::string &text)
-{
-    return text.size() == JobIdLength
-            && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
-}
-
 } // namespace
 
 CellLeader::CellLeader(Instant now, LeaderOptions options, JobBookData book)
@@ -97,6 +59,7 @@
     , m_book(std::move(book))
     , m_pool(now)
     , m_advice(m_options.self)
+    , m_desk(m_book, *this)
     , m_planner(m_book, m_pool, m_advice, std::make_unique<PackingChoice>())
 {
     for (const auto &[life, report] : m_book.workers)
@@ -134,16 +97,11 @@
     m_decisions.answers.push_back({origin, std::move(answer)});
 }
 
-void CellLeader::refuse(const CallOrigin &origin, Refusal refusal, std::string reason)
-{
-    answer(origin, CallRefused{refusal, std::move(reason), {}});
-}
-
 void CellLeader::runOpened(const JobTaskRef &task, const Job &job, const TaskProgress &progress)
 {
     const StepSpec &step = job.spec.steps[task.step.step];
     m_planner.runOpened(task, job, progress.worker);
-    m_waiting[job.terms.queue].erase(task.step.job);
+    m_desk.jobChanged(task.step.job, job);
     PooledWorker *const worker = m_pool.find(progress.worker);
     if (worker == nullptr)
         return;
@@ -165,10 +123,7 @@
 
 void CellLeader::jobChanged(const JobId &id, const Job &job)
 {
-    if (job.state == JobState::Queued)
-        m_waiting[job.terms.queue].insert(id);
-    else
-        m_waiting[job.terms.queue].erase(id);
+    m_desk.jobChanged(id, job);
     if (job.occurrencesBegun < job.spec.repeats && !job.isOver())
         m_timed.insert(id);
     else
@@ -194,119 +149,19 @@
 void CellLeader::take(Instant, Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                       Outbox &out)
 {
-    if (!m_book.document.has_value()) {
-        refuse(origin, Refusal::NotNow, "there is no configuration yet");
-        return;
-    }
-    const ConfigDocument &document = *m_book.document;
-    const std::optional<QueueMatch> match = configrules::findQueue(document, call.host, call.path);
-    if (!match.has_value()) {
-        refuse(origin, Refusal::NoSuchQueue, "no queue has this address");
-        return;
-    }
-    const TeamConfig *const team
-            = call.key.has_value() ? configrules::findTeam(document, *call.key) : nullptr;
-    if (team == nullptr && !match->queue->isPublic) {
-        refuse(origin, Refusal::UnknownKey, "the key is missing or unknown");
-        return;
-    }
-    if (call.verb == JobVerb::Submit) {
-        submit(wall, origin, call, *match->queue, team == nullptr ? TeamId() : team->team,
-               match->rest, out);
-        return;
-    }
-    if (match->rest.empty()) {
-        answer(origin, QueueShown{waitingIn(match->queue->queue)});
-        return;
-    }
-    const auto found = m_book.jobs.find(JobId(match->rest));
-    if (found == m_book.jobs.end() || found->second.terms.queue != match->queue->queue) {
-        refuse(origin, Refusal::NoSuchJob, "there is no such job");
-        return;
-    }
-    if (call.verb == JobVerb::Look)
-        answer(origin, JobShown{found->second.state});
-    else
-        cancel(origin, found->first, found->second, out);
-}
-
-std::uint64_t CellLeader::waitingIn(const QueueId &queue) const
-{
-    const auto found = m_waiting.find(queue);
-    return found == m_waiting.end() ? 0 : found->second.size();
-}
-
-void CellLeader::submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
-                        const QueueConfig &queue, const TeamId &team, const std::string &id,
-                        Outbox &out)
-{
-    if (!isJobId(id)) {
-        refuse(origin, Refusal::Malformed, "a job's name has 16 hexadecimal digits");
-        return;
-    }
-    if (m_book.jobs.contains(JobId(id))) {
-        answer(origin, CallDone{});
-        return;
-    }
-    const std::optional<std::string> defect
-            = call.spec.has_value() ? defectOf(*call.spec) : call.defect;
-    if (defect.has_value()) {
-        note(out, id, absl::StrCat("job refused: ", *defect));
-        refuse(origin, Refusal::Malformed, *defect);
-        return;
-    }
-    JobAccepted record;
-    record.id = JobId(id);
-    record.terms = {queue.queue,           queue.pool,         team,
-                    queue.priority,        queue.mostAttempts, queue.allowance,
-                    queue.stretchPermille, queue.advice};
-    record.spec = *call.spec;
-    record.acceptedAt = wall;
-    note(out, id,
-         absl::StrCat("job accepted: queue=", queue.queue.value(), " team=", team.value(),
-                      " steps=", record.spec.steps.size(),
-                      " config=", m_book.document->version.value()));
-    apply(std::move(record));
-    answer(origin, CallDone{});
-}
-
-void CellLeader::cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out)
-{
-    if (!job.isOver()) {
-        note(out, id.value(), "job cancelled by its team");
-        apply(JobCancelled{id});
-    }
-    answer(origin, CallDone{});
+    m_desk.take(wall, origin, call, out);
 }
 
 void CellLeader::take(Instant, Milliseconds, const CallOrigin &origin, const PutDocument &call,
                       Outbox &out)
 {
-    const std::optional<std::string> defect
-            = call.document.has_value() ? configrules::defectOf(*call.document) : call.defect;
-    if (defect.has_value()) {
-        note(out, "configuration", "refused: " + *defect);
-        refuse(origin, Refusal::Malformed, *defect);
-        return;
-    }
-    const DocumentVersion held
-            = m_book.document.has_value() ? m_book.document->version : DocumentVersion();
-    if (!m_book.document.has_value() || call.document->version > held) {
-        note(out, "configuration",
-             absl::StrCat("accepted: version=", call.document->version.value(),
-                          " replaces=", held.value()));
-        apply(DocumentAccepted{*call.document});
-    }
-    answer(origin, CallDone{});
+    m_desk.take(origin, call, out);
 }
 
-void CellLeader::take(Instant, Milliseconds, const CallOrigin &origin, const GetDocument &,
+void CellLeader::take(Instant, Milliseconds, const CallOrigin &origin, const GetDocument &call,
                       Outbox &)
 {
-    if (m_book.document.has_value())
-        answer(origin, DocumentShown{m_book.document->source});
-    else
-        refuse(origin, Refusal::NotNow, "there is no configuration yet");
+    m_desk.take(origin, call);
 }
 
 void CellLeader::take(Instant now, Milliseconds, const CallOrigin &origin, const WorkerBeat &call,
@@ -340,9 +195,9 @@
             || !(worker->report.capacity == report.capacity)
             || worker->report.labels != report.labels;
     if (changed) {
-        note(out, life.worker.value(),
-             absl::StrCat(isNew ? "worker is there" : "worker has changed",
-                          ": address=", report.address, " draining=", report.isDraining));
+        out.note(life.worker.value(),
+                 absl::StrCat(isNew ? "worker is there" : "worker has changed",
+                              ": address=", report.address, " draining=", report.isDraining));
         apply(WorkerSeen{report});
     }
     worker = &m_pool.put(now, report);
@@ -374,9 +229,9 @@
     if (worker == nullptr || !worker->runs.contains(task))
         return;
     const OpenRun &run = worker->runs.at(task);
-    note(out, task.step.job.value(),
-         absl::StrCat("run ended: task=", nameOf(task), " run=", run.run.value(),
-                      " worker=", life.worker.value(), " how=", nameOf(ending)));
+    out.note(task.step.job.value(),
+             absl::StrCat("run ended: task=", nameOf(task), " run=", run.run.value(),
+                          " worker=", life.worker.value(), " how=", nameOf(ending)));
     apply(RunEnded{task, run.run, ending, run.checkpoint});
 }
 
@@ -385,7 +240,7 @@
     PooledWorker *const worker = m_pool.find(life);
     if (worker == nullptr)
         return;
-    note(out, life.worker.value(), absl::StrCat("worker is gone: ", reason));
+    out.note(life.worker.value(), absl::StrCat("worker is gone: ", reason));
     std::vector<JobTaskRef> tasks;
     for (const auto &[task, run] : worker->runs)
         tasks.push_back(task);
@@ -420,7 +275,7 @@
     } else {
         worker->silentOrders = 0;
         if (worker->isFailing)
-            note(out, call.life.worker.value(), "answers again");
+            out.note(call.life.worker.value(), "answers again");
         worker->isFailing = false;
         if (answer.clock.has_value())
             WorkerPool::tellClock(*worker, now, *answer.clock);
@@ -457,9 +312,9 @@
     default:
         break;
     }
-    note(out, call.task.step.job.value(),
-         absl::StrCat("start refused: task=", nameOf(call.task),
-                      " worker=", call.life.worker.value(), " reason=", answer.error));
+    out.note(call.task.step.job.value(),
+             absl::StrCat("start refused: task=", nameOf(call.task),
+                          " worker=", call.life.worker.value(), " reason=", answer.error));
     if (answer.verdict == WorkerVerdict::NoTicket)
         m_advice.drop(call.task.step, call.life.worker);
     else if (answer.verdict == WorkerVerdict::Refused)
@@ -502,9 +357,9 @@
         if (end.number <= worker.recorded)
             continue;
         worker.recorded = end.number;
-        note(out, end.task.step.job.value(),
-             absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
-                          " worker=", life.worker.value(), " how=", nameOf(end.ending)));
+        out.note(end.task.step.job.value(),
+                 absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
+                              " worker=", life.worker.value(), " how=", nameOf(end.ending)));
         if (end.ending == RunEnding::Done) {
             notePace(now, worker, end);
             worker.failuresInRow = 0;
@@ -685,10 +540,10 @@
     effect.timeout = OrderTimeout;
     m_calls.emplace(effect.call,
                     Call{OrderKind::Start, worker.report.life, task, run.run, now, {}});
-    note(out, task.step.job.value(),
-         absl::StrCat(isRepetition ? "start repeated: task=" : "start ordered: task=", nameOf(task),
-                      " run=", run.run.value(), " worker=", worker.report.life.worker.value(),
-                      " lease_until=", *until));
+    out.note(task.step.job.value(),
+             absl::StrCat(isRepetition ? "start repeated: task=" : "start ordered: task=",
+                          nameOf(task), " run=", run.run.value(),
+                          " worker=", worker.report.life.worker.value(), " lease_until=", *until));
     run.isCallInFlight = true;
     if (!run.startedAt.has_value())
         run.startedAt = now;
@@ -707,9 +562,9 @@
     effect.validUntil = now + OrderValidity;
     effect.timeout = OrderTimeout;
     m_calls.emplace(effect.call, Call{OrderKind::Stop, worker.report.life, task, run, now, {}});
-    note(out, task.step.job.value(),
-         absl::StrCat("stop ordered: task=", nameOf(task), " run=", run.value(),
-                      " worker=", worker.report.life.worker.value()));
+    out.note(task.step.job.value(),
+             absl::StrCat("stop ordered: task=", nameOf(task), " run=", run.value(),
+                          " worker=", worker.report.life.worker.value()));
     out.add(std::move(effect));
 }
 
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/jobs/advice_desk.h"
+#include "control/jobs/call_desk.h"
 #include "control/jobs/job_book.h"
 #include "control/jobs/start_planner.h"
 #include "control/jobs/worker_pool.h"
@@ -12,13 +13,6 @@
 
 namespace gentiancross {
 
-/** Where a call came in: the host that holds the caller's connection, and its exchange there. */
-struct CallOrigin
-{
-    HostId host;
-    ExchangeId exchange;
-};
-
 struct OriginAnswer
 {
     CallOrigin origin;
@@ -54,7 +48,7 @@
  * host because of a record waits until the record is (`takeDecisions`, `carryOut`).
  * Thread safety: owned by the control thread.
  */
-class CellLeader final : private JobBookObserver, private StartSink
+class CellLeader final : private JobBookObserver, private StartSink, private DecisionSink
 {
 public:
     CellLeader(Instant now, LeaderOptions options, JobBookData book);
@@ -100,9 +94,8 @@
     void startDecided(const JobTaskRef &task, RunNumber run, const WorkerLife &worker,
                       const std::string &ticket) override;
 
-    void apply(JobRecord record);
-    void answer(const CallOrigin &origin, CallAnswer answer);
-    void refuse(const CallOrigin &origin, Refusal refusal, std::string reason);
+    void apply(JobRecord record) override;
+    void answer(const CallOrigin &origin, CallAnswer answer) override;
 
     void take(Instant now, Milliseconds wall, const CallOrigin &origin, const JobCall &call,
               Outbox &out);
@@ -114,10 +107,6 @@
               Outbox &out);
     void take(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
               Outbox &out);
-    void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
-                const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
-    void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
-    [[nodiscard]] std::uint64_t waitingIn(const QueueId &queue) const;
 
     void startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
     void stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer);
@@ -146,11 +135,11 @@
     JobBookData m_book;
     WorkerPool m_pool;
     AdviceDesk m_advice;
+    CallDesk m_desk;
     StartPlanner m_planner;
     Decisions m_decisions;
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall = 0;
-    std::map<QueueId, std::set<JobId>> m_waiting;
     /** Jobs with occurrences still to begin. */
     std::set<JobId> m_timed;
 };
--- a/control/outbox.h
+++ b/control/outbox.h
@@ -21,6 +21,11 @@
     {}
 
     void add(Effect effect) { m_effects.push_back(std::move(effect)); }
+    /** A line for the operator's log. */
+    void note(const std::string &subject, std::string what)
+    {
+        add(LogLine{false, subject, std::move(what)});
+    }
     void send(const HostId &to, PeerMessage message) { add(SendToPeer{to, std::move(message), 0}); }
 
     /** Sends \a message once all that was persisted so far, in this event too, is synced. */
--- a/main/cell_command.cpp
+++ b/main/cell_command.cpp
@@ -4,8 +4,6 @@
 #include "main/arguments.h"
 #include "main/cell_host.h"
 
-#include <iostream>
-
 namespace gentiancross {
 
 namespace {
@@ -32,23 +30,15 @@
     return settings;
 }
 
-ExitCode reportError(const absl::Status &status)
-{
-    if (absl::IsCancelled(status))
-        return ExitCode::Success;
-    std::cerr << "gentiancross: " << describeError(status) << '\n';
-    return ExitCode::BadSettings;
-}
-
 } // namespace
 
 ExitCode CellCommand::run(const std::vector<std::string> &words)
 {
     const absl::StatusOr<CellSettings> settings = readSettings(words);
     if (!settings.ok())
-        return reportError(settings.status());
+        return reportSettingsError(settings.status());
     const absl::Status status = runCellHost(*settings);
-    return status.ok() ? ExitCode::Success : reportError(status);
+    return status.ok() ? ExitCode::Success : reportSettingsError(status);
 }
 
 } // namespace gentiancross
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -7,6 +7,7 @@
 #include "drivers/log.h"
 #include "drivers/random.h"
 #include "drivers/system_clock.h"
+#include "main/host_store.h"
 #include "platform/cell_front.h"
 #include "platform/worker_caller.h"
 #include "servers/control_server.h"
@@ -108,33 +109,6 @@
     int m_ticks = 0;
 };
 
-struct Beginning
-{
-    Identity identity;
-    Recovered recovered;
-};
-
-absl::StatusOr<Beginning> openStore(const platform::BootFile &boot, JournalFile &journal)
-{
-    Beginning beginning;
-    const HostId self = hostAt(boot.ip, boot);
-    beginning.identity.session = SessionId(self.value() + '.' + uniqueName());
-    if (boot.dataFolder.empty()) {
-        beginning.identity.replica = makeReplica(self, false, uniqueName());
-        return beginning;
-    }
-    absl::StatusOr<std::vector<JournalRecord>> records = journal.open(boot.dataFolder);
-    if (!records.ok())
-        return records.status();
-    absl::StatusOr<std::string> name = journal.storeName();
-    if (!name.ok())
-        return name.status();
-    beginning.identity.replica = makeReplica(self, true, *name);
-    beginning.recovered.fresh = records->empty();
-    beginning.recovered.records = *std::move(records);
-    return beginning;
-}
-
 CellOptions cellOptions(const platform::BootFile &boot, const Identity &identity)
 {
     CellOptions options;
@@ -156,13 +130,6 @@
     return options;
 }
 
-[[noreturn]] void endAfterDiskFailure(const absl::Status &status)
-{
-    logWarning("journal", describeError(status));
-    // Nothing more can be promised; the other keepers go on without this one.
-    std::_Exit(EXIT_FAILURE);
-}
-
 } // namespace
 
 absl::Status runCellHost(const CellSettings &settings)
@@ -170,7 +137,8 @@
     const platform::BootFile &boot = settings.boot;
     startLog(LogFormat::Json, boot.node, LogStream::StandardOutput);
     JournalFile journal;
-    absl::StatusOr<Beginning> beginning = openStore(boot, journal);
+    absl::StatusOr<Beginning> beginning
+            = openStore(hostAt(boot.ip, boot), boot.dataFolder, journal);
     if (!beginning.ok())
         return beginning.status();
 
--- a/main/command.h
+++ b/main/command.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/status/status.h>
+
 #include <string>
 #include <vector>
 
@@ -34,4 +36,7 @@
     virtual ExitCode run(const std::vector<std::string> &words) = 0;
 };
 
+/** Prints the error in one line, unless help was asked for, and returns its exit code. */
+ExitCode reportSettingsError(const absl::Status &status);
+
 } // namespace gentiancross
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -7,6 +7,7 @@
 #include "drivers/log.h"
 #include "drivers/random.h"
 #include "drivers/system_clock.h"
+#include "main/host_store.h"
 #include "servers/control_server.h"
 #include "servers/effect_router.h"
 #include "servers/front_server.h"
@@ -56,34 +57,6 @@
     EventSink &m_events;
 };
 
-/** What a host knows of itself before its first event. */
-struct Beginning
-{
-    Identity identity;
-    Recovered recovered;
-};
-
-absl::StatusOr<Beginning> openStore(const ServeSettings &settings, JournalFile &journal)
-{
-    Beginning beginning;
-    const HostId &self = settings.directory.self;
-    beginning.identity.session = SessionId(self.value() + '.' + uniqueName());
-    if (settings.dataFolder.empty()) {
-        beginning.identity.replica = makeReplica(self, false, uniqueName());
-        return beginning;
-    }
-    absl::StatusOr<std::vector<JournalRecord>> records = journal.open(settings.dataFolder);
-    if (!records.ok())
-        return records.status();
-    absl::StatusOr<std::string> name = journal.storeName();
-    if (!name.ok())
-        return name.status();
-    beginning.identity.replica = makeReplica(self, true, *name);
-    beginning.recovered.fresh = records->empty();
-    beginning.recovered.records = *std::move(records);
-    return beginning;
-}
-
 RootOptions rootOptions(const ServeSettings &settings, const Identity &identity)
 {
     RootOptions options;
@@ -96,20 +69,14 @@
     return options;
 }
 
-[[noreturn]] void endAfterDiskFailure(const absl::Status &status)
-{
-    logWarning("journal", describeError(status));
-    // Nothing more can be promised; the other replicas go on without this one.
-    std::_Exit(EXIT_FAILURE);
-}
-
 } // namespace
 
 absl::Status runEntryHost(const ServeSettings &settings)
 {
     startLog(settings.logFormat, settings.directory.self.value());
     JournalFile journal;
-    absl::StatusOr<Beginning> beginning = openStore(settings, journal);
+    absl::StatusOr<Beginning> beginning
+            = openStore(settings.directory.self, settings.dataFolder, journal);
     if (!beginning.ok())
         return beginning.status();
 
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -8,32 +8,20 @@
 
 namespace gentiancross {
 
-namespace {
-
-ExitCode reportError(const absl::Status &status)
-{
-    if (absl::IsCancelled(status))
-        return ExitCode::Success;
-    std::cerr << "gentiancross: " << describeError(status) << '\n';
-    return ExitCode::BadSettings;
-}
-
-} // namespace
-
 ExitCode ServeCommand::run(const std::vector<std::string> &words)
 {
     const absl::StatusOr<ServeSettings> settings = readServeSettings(words);
     if (!settings.ok())
-        return reportError(settings.status());
+        return reportSettingsError(settings.status());
     const absl::Status status = runEntryHost(*settings);
-    return status.ok() ? ExitCode::Success : reportError(status);
+    return status.ok() ? ExitCode::Success : reportSettingsError(status);
 }
 
 ExitCode CheckSettingsCommand::run(const std::vector<std::string> &words)
 {
     const absl::StatusOr<ServeSettings> settings = readServeSettings(words);
     if (!settings.ok())
-        return reportError(settings.status());
+        return reportSettingsError(settings.status());
     std::cout << settings->describe();
     return ExitCode::Success;
 }
