--- a/tests/runner/fleet_conditions.cpp
+++ b/tests/runner/fleet_conditions.cpp
@@ -134,7 +134,8 @@
         if (authority["data_centre"].asString() == line.word(1))
             return static_cast<std::int64_t>(authority["in_sync"].size())
                     == line.number64("count", 2)
-                    && arePresent(authority["in_sync"]);
+                    && arePresent(authority["in_sync"])
+                    && (line.word(2) != "near" || areIn(line.word(1), authority["in_sync"]));
     }
     return false;
 }
@@ -153,6 +154,17 @@
     });
 }
 
+bool FleetConditions::areIn(const std::string &dataCentre, const Json::Value &replicas) const
+{
+    return std::all_of(replicas.begin(), replicas.end(), [&](const Json::Value &replica) {
+        const std::string name = replica.asString();
+        return std::any_of(
+                m_fleet.hosts().begin(), m_fleet.hosts().end(), [&](const FleetHost &host) {
+                    return host.dataCentre == dataCentre && name.starts_with(host.name + '#');
+                });
+    });
+}
+
 bool FleetConditions::haveApplied(const ScenarioLine &) const
 {
     // Every running host has applied what the leader has committed.
--- a/tests/runner/fleet_conditions.h
+++ b/tests/runner/fleet_conditions.h
@@ -43,6 +43,8 @@
     bool isInSync(const ScenarioLine &line) const;
     /** True if each of the replicas is the store that its host has now. */
     bool arePresent(const Json::Value &replicas) const;
+    /** True if all \a replicas are of hosts of the data centre itself. */
+    bool areIn(const std::string &dataCentre, const Json::Value &replicas) const;
     bool haveApplied(const ScenarioLine &line) const;
     bool isVoter(const ScenarioLine &line) const;
     bool hasWorkers(const ScenarioLine &line) const;
