--- /dev/null
+++ b/drivers/pulse.cpp
@@ -0,0 +1,69 @@
+#include "drivers/pulse.h"
+
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Select_Reactor.h>
+#include <ace/Timer_Heap_T.h>
+
+namespace gentiancross {
+
+namespace {
+
+using MonotonicTimers
+        = ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall,
+                           ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
+
+constexpr long MicrosecondsPerMillisecond = 1000;
+
+} // namespace
+
+Pulse::Pulse(PulseListener &listener)
+    : m_listener(listener)
+    , m_timers(std::make_unique<MonotonicTimers>())
+    , m_reactor(new ACE_Select_Reactor(nullptr, m_timers.get()), true)
+{
+    reactor(&m_reactor);
+}
+
+Pulse::~Pulse()
+{
+    m_reactor.cancel_timer(this);
+    reactor(nullptr);
+}
+
+void Pulse::watch(int signal)
+{
+    m_reactor.register_handler(signal, this);
+}
+
+void Pulse::run()
+{
+    const ACE_Time_Value interval(0, Interval.value() * MicrosecondsPerMillisecond);
+    m_reactor.schedule_timer(this, nullptr, interval, interval);
+    m_reactor.run_reactor_event_loop();
+    m_reactor.cancel_timer(this);
+}
+
+void Pulse::end()
+{
+    m_reactor.end_reactor_event_loop();
+}
+
+Milliseconds Pulse::timerTime()
+{
+    return Milliseconds(static_cast<std::int64_t>(m_timers->gettimeofday().msec()));
+}
+
+int Pulse::handle_timeout(const ACE_Time_Value &, const void *)
+{
+    m_listener.ticked();
+    return 0;
+}
+
+int Pulse::handle_signal(int signal, siginfo_t *, ucontext_t *)
+{
+    m_listener.signalled(signal);
+    return 0;
+}
+
+} // namespace gentiancross
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -5,6 +5,7 @@
 #include "drivers/http_client.h"
 #include "drivers/journal_file.h"
 #include "drivers/log.h"
+#include "drivers/pulse.h"
 #include "drivers/random.h"
 #include "drivers/system_clock.h"
 #include "main/host_store.h"
@@ -19,11 +20,7 @@
 #include "servers/peer_listener.h"
 
 #include <absl/strings/str_cat.h>
-#include <ace/Event_Handler.h>
 #include <ace/OS_NS_sys_stat.h>
-#include <ace/Reactor.h>
-#include <ace/Sig_Handler.h>
-#include <ace/Signal.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -32,7 +29,6 @@
 
 namespace {
 
-constexpr long TickMicroseconds = 50'000;
 /** One for the call that waits for ends and some for orders; new ones are dear for workers. */
 constexpr long MostConnectionsPerWorker = 4;
 /** The settings file may change without a signal, so it is looked at once a second. */
@@ -51,36 +47,32 @@
     return seeds;
 }
 
-/** Turns the reactor's timer and signals, and changes of the settings file, into events. */
-class Pulse final : public ACE_Event_Handler
+/** Turns ticks, signals and changes of the settings file into events. */
+class CellPulse final : public PulseListener
 {
 public:
-    Pulse(ACE_Reactor &reactor, EventSink &events, platform::CellFront &front, std::string bootPath)
-        : ACE_Event_Handler(&reactor)
-        , m_events(events)
+    CellPulse(EventSink &events, platform::CellFront &front, std::string bootPath)
+        : m_events(events)
         , m_front(front)
         , m_bootPath(std::move(bootPath))
         , m_changedAt(changeTime())
     {}
 
-    int handle_timeout(const ACE_Time_Value &, const void *) override
+    void ticked() override
     {
         m_events.post(Ticked{});
         if (++m_ticks % TicksPerLook == 0 && changeTime() != m_changedAt)
             readAgain();
-        return 0;
     }
 
-    int handle_signal(int signal, siginfo_t *, ucontext_t *) override
+    void signalled(int signal) override
     {
-        // The reactor calls this between its waits, not inside the signal.
         if (signal == SIGHUP) {
             readAgain();
-            return 0;
+            return;
         }
         m_front.startDraining();
         m_events.post(ShutdownRequested{});
-        return 0;
     }
 
 private:
@@ -153,19 +145,14 @@
     PeerListener peerListener(peers, settings.fleetSecret);
     platform::WorkerCaller workers(client, clock, control, boot.adviser);
     platform::CellFront front(boot, clock, control, metrics);
-    ACE_Reactor reactor;
-    Pulse pulse(reactor, control, front, settings.bootPath);
+    CellPulse listener(control, front, settings.bootPath);
+    Pulse pulse(listener);
     EffectRouter router({front, peers, workers, boot.dataFolder.empty() ? nullptr : &journalServer,
-                         [&reactor] { reactor.end_reactor_event_loop(); }, &workers, &log});
+                         [&pulse] { pulse.end(); }, &workers, &log});
     control.setEffectHandler(&router);
 
-    ACE_Sig_Set signals;
-    signals.sig_add(SIGTERM);
-    signals.sig_add(SIGINT);
-    signals.sig_add(SIGHUP);
-    reactor.register_handler(signals, &pulse);
-    const ACE_Time_Value interval(0, TickMicroseconds);
-    reactor.schedule_timer(&pulse, nullptr, interval, interval);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        pulse.watch(signal);
 
     control.post(std::move(beginning->recovered));
     log.start();
@@ -177,9 +164,8 @@
         status = front.start();
     if (status.ok()) {
         logInfo("start", absl::StrCat("serving as ", beginning->identity.replica.value()));
-        reactor.run_reactor_event_loop();
+        pulse.run();
     }
-    reactor.cancel_timer(&pulse);
     front.stop();
     control.stop();
     peerListener.stop();
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -5,6 +5,7 @@
 #include "drivers/http_client.h"
 #include "drivers/journal_file.h"
 #include "drivers/log.h"
+#include "drivers/pulse.h"
 #include "drivers/random.h"
 #include "drivers/system_clock.h"
 #include "main/host_store.h"
@@ -16,11 +17,6 @@
 #include "servers/peer_link.h"
 #include "servers/target_link.h"
 
-#include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
-#include <ace/Sig_Handler.h>
-#include <ace/Signal.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <memory>
@@ -29,29 +25,16 @@
 
 namespace {
 
-constexpr long TickMicroseconds = 50'000;
-
-/** Turns the reactor's timer and signals into events. */
-class Pulse final : public ACE_Event_Handler
+/** Turns ticks and signals into events. */
+class EntryPulse final : public PulseListener
 {
 public:
-    Pulse(ACE_Reactor &reactor, EventSink &events)
-        : ACE_Event_Handler(&reactor)
-        , m_events(events)
+    explicit EntryPulse(EventSink &events)
+        : m_events(events)
     {}
 
-    int handle_timeout(const ACE_Time_Value &, const void *) override
-    {
-        m_events.post(Ticked{});
-        return 0;
-    }
-
-    int handle_signal(int, siginfo_t *, ucontext_t *) override
-    {
-        // The reactor calls this between its waits, not inside the signal.
-        m_events.post(ShutdownRequested{});
-        return 0;
-    }
+    void ticked() override { m_events.post(Ticked{}); }
+    void signalled(int) override { m_events.post(ShutdownRequested{}); }
 
 private:
     EventSink &m_events;
@@ -89,19 +72,15 @@
     PeerLink peers(settings.peers, control);
     TargetLink targets(client, clock, control);
     FrontServer front(settings.front, settings.peers, client, peers, clock, control, metrics);
-    ACE_Reactor reactor;
-    Pulse pulse(reactor, control);
+    EntryPulse listener(control);
+    Pulse pulse(listener);
     EffectRouter router({front, peers, targets,
                          settings.dataFolder.empty() ? nullptr : &journalServer,
-                         [&reactor] { reactor.end_reactor_event_loop(); }});
+                         [&pulse] { pulse.end(); }});
     control.setEffectHandler(&router);
 
-    ACE_Sig_Set signals;
-    signals.sig_add(SIGTERM);
-    signals.sig_add(SIGINT);
-    reactor.register_handler(signals, &pulse);
-    const ACE_Time_Value interval(0, TickMicroseconds);
-    reactor.schedule_timer(&pulse, nullptr, interval, interval);
+    pulse.watch(SIGTERM);
+    pulse.watch(SIGINT);
 
     control.post(std::move(beginning->recovered));
     journalServer.start();
@@ -110,10 +89,9 @@
     absl::Status status = front.start();
     if (status.ok()) {
         logInfo(beginning->identity.replica.value(), "serving");
-        reactor.run_reactor_event_loop();
+        pulse.run();
         logInfo(beginning->identity.replica.value(), "ended");
     }
-    reactor.cancel_timer(&pulse);
     control.stop();
     front.stop();
     client.stop();
