--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES = $(shell git ls-files 'core/*' 'control/*' 'drivers/*' 'platform/*' 'servers/*' 'main/*' 'tests/*' 'benchmarks/*' \
           | grep -E '\.(h|cpp)$$')
 
-.PHONY: all install build run test unit scenarios scenario bench format-check lint clean
+.PHONY: all install build run test unit scenarios scenario soak soak-regressions bench format-check lint clean
 
 all: build
 
@@ -23,7 +23,7 @@
 run: build
 	@$(RUNNER) tests/scenarios/tour.scenario
 
-test: unit scenarios
+test: unit scenarios soak-regressions
 
 unit: build
 	@$(BUILD)/tests/unit-tests
@@ -41,6 +41,15 @@
 scenario: build
 	@$(RUNNER) --seed $(or $(SEED),1) $(FILE)
 
+# A cell of real processes under random faults: make soak [SEED=1] [SEEDS=10]. The short run soaks the
+# seeds that once failed.
+SOAK := $(BUILD)/tests/cell-soak --binary $(BUILD)/gentiancross --folder $(BUILD)/soak-runs
+soak: build
+	@$(SOAK) --seed $(or $(SEED),1) --seeds $(or $(SEEDS),10)
+
+soak-regressions: build
+	@grep -v '^#' tests/soak/regressions.txt | cut -d'|' -f1 | xargs -n 1 $(SOAK) --seed
+
 bench: build
 	@$(BUILD)/benchmarks/bench $(BUILD)/bench.json $$(git rev-parse --short HEAD)
 
--- a/benchmarks/bench_main.cpp
+++ b/benchmarks/bench_main.cpp
@@ -1,21 +1,38 @@
 #include "benchmarks/decision_bench.h"
 
 #include <iostream>
+#include <string>
 
-/** Measures the decisions; writes the figures as JSON to the first argument. */
+namespace {
+
+using namespace gentiancross::benchmarks;
+
+void measureAll(Report &report)
+{
+    measureReducer(report);
+    measureDecisions(report);
+    measureShares(report);
+    measureShareReturn(report);
+    measurePacking(report);
+    measureLedger(report);
+    measureWaiting(report);
+    measureCell(report);
+}
+
+} // namespace
+
+/** Measures the decisions, or only a cell's; writes the figures as JSON to the first argument. */
 int main(int argc, char **argv)
 {
-    if (argc != 3) {
-        std::cerr << "usage: bench FILE COMMIT\n";
+    const bool isCellOnly = argc == 4 && std::string(argv[3]) == "cell";
+    if (argc != 3 && !isCellOnly) {
+        std::cerr << "usage: bench FILE COMMIT [cell]\n";
         return 2;
     }
-    gentiancross::benchmarks::Report report(argv[2]);
-    gentiancross::benchmarks::measureReducer(report);
-    gentiancross::benchmarks::measureDecisions(report);
-    gentiancross::benchmarks::measureShares(report);
-    gentiancross::benchmarks::measureShareReturn(report);
-    gentiancross::benchmarks::measurePacking(report);
-    gentiancross::benchmarks::measureLedger(report);
-    gentiancross::benchmarks::measureWaiting(report);
+    Report report(argv[2]);
+    if (isCellOnly)
+        measureCell(report);
+    else
+        measureAll(report);
     return report.write(argv[1]) ? 0 : 1;
 }
--- a/benchmarks/decision_bench.h
+++ b/benchmarks/decision_bench.h
@@ -26,4 +26,7 @@
 /** Processor time and memory of the reducer per announcement, request, change. */
 void measureReducer(Report &report);
 
+/** Processor time of a cell's leader, and how long short jobs wait, at the deployments' loads. */
+void measureCell(Report &report);
+
 } // namespace gentiancross::benchmarks
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -3,6 +3,7 @@
 #include "control/jobs/advice_desk.h"
 #include "control/jobs/call_desk.h"
 #include "control/jobs/job_book.h"
+#include "control/jobs/run_desk.h"
 #include "control/jobs/start_planner.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
@@ -48,7 +49,10 @@
  * host because of a record waits until the record is (`takeDecisions`, `carryOut`).
  * Thread safety: owned by the control thread.
  */
-class CellLeader final : private JobBookObserver, private StartSink, private DecisionSink
+class CellLeader final : private JobBookObserver,
+                         private StartSink,
+                         private DecisionSink,
+                         private RunSink
 {
 public:
     CellLeader(Instant now, LeaderOptions options, JobBookData book);
@@ -56,7 +60,10 @@
     /** Takes a call in; its answer comes with the decisions. */
     void receive(Instant now, Milliseconds wall, const CallOrigin &origin, const CellCall &call,
                  Outbox &out);
-    void receive(Instant now, const WorkerAnswer &answer, Outbox &out);
+    void receive(Instant now, const WorkerAnswer &answer, Outbox &out)
+    {
+        m_runs.receive(now, answer, out);
+    }
     void receive(Instant now, const AdviceTold &told, Outbox &out)
     {
         m_advice.receive(now, told, out);
@@ -75,19 +82,6 @@
     [[nodiscard]] const JobBookData &book() const { return m_book; }
 
 private:
-    enum class OrderKind { Start, Stop, Hold };
-
-    struct Call
-    {
-        OrderKind kind = OrderKind::Hold;
-        WorkerLife life;
-        JobTaskRef task;
-        RunNumber run;
-        Instant sentAt;
-        /** Runs that were settled when the call left, so that a list without them is proof. */
-        std::set<JobTaskRef> settled;
-    };
-
     void runOpened(const JobTaskRef &task, const Job &job, const TaskProgress &progress) override;
     void runClosed(const JobTaskRef &task, const Job &job, const TaskProgress &progress) override;
     void jobChanged(const JobId &id, const Job &job) override;
@@ -96,6 +90,7 @@
 
     void apply(JobRecord record) override;
     void answer(const CallOrigin &origin, CallAnswer answer) override;
+    void endsRecorded(const WorkerLife &life, EndNumber number) override;
 
     void take(Instant now, Milliseconds wall, const CallOrigin &origin, const JobCall &call,
               Outbox &out);
@@ -108,27 +103,6 @@
     void take(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
               Outbox &out);
 
-    void startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
-    void stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer);
-    void holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
-    void takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
-                  Outbox &out);
-    static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
-    void notePace(Instant now, PooledWorker &worker, const EndListed &end);
-    void takeRunning(Instant now, PooledWorker &worker, const Call &call,
-                     const WorkerAnswer &answer, Outbox &out);
-    void endRun(const WorkerLife &life, const JobTaskRef &task, RunEnding ending, Outbox &out);
-    void endLife(const WorkerLife &life, const char *reason, Outbox &out);
-    void endLapsed(Instant now, Outbox &out);
-
-    void follow(Instant now, PooledWorker &worker, Outbox &out);
-    void hold(Instant now, PooledWorker &worker, Outbox &out);
-    void orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, OpenRun &run,
-                    Outbox &out);
-    void orderStop(Instant now, PooledWorker &worker, const JobTaskRef &task, RunNumber run,
-                   Outbox &out);
-    [[nodiscard]] bool isWanted(const JobTaskRef &task) const;
-
     void beginDue(Milliseconds wall);
 
     LeaderOptions m_options;
@@ -136,10 +110,9 @@
     WorkerPool m_pool;
     AdviceDesk m_advice;
     CallDesk m_desk;
+    RunDesk m_runs;
     StartPlanner m_planner;
     Decisions m_decisions;
-    std::map<CallId, Call> m_calls;
-    std::uint64_t m_lastCall = 0;
     /** Jobs with occurrences still to begin. */
     std::set<JobId> m_timed;
 };
--- a/control/jobs/job_book.cpp
+++ b/control/jobs/job_book.cpp
@@ -99,6 +99,19 @@
 
     void operator()(const WorkerGone &record) { m_data.workers.erase(record.life); }
 
+    void operator()(const RunMoved &record)
+    {
+        Job *const job = findJob(record.task);
+        TaskProgress *const task = findTask(record.task);
+        if (task == nullptr || !task->isOpen || task->lastRun != record.run)
+            return;
+        close(record.task, *job, *task);
+        task->isOpen = true;
+        task->worker = record.worker;
+        if (m_observer != nullptr)
+            m_observer->runOpened(record.task, *job, *task);
+    }
+
 private:
     static void beginOccurrence(Job &job)
     {
--- /dev/null
+++ b/control/jobs/run_desk.cpp
@@ -0,0 +1,452 @@
+#include "control/jobs/run_desk.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace gentiancross {
+
+namespace {
+
+/** A worker tells of ends at once; this only bounds how old a lease and a list may get. */
+constexpr Milliseconds HoldWait{900};
+/** What an order's answer may take: some round trips of a loaded link. */
+constexpr Milliseconds OrderTimeout{700};
+/** An order that waits longer on its way to the network is decided anew. */
+constexpr Milliseconds OrderValidity{400};
+constexpr Milliseconds RetryPause{150};
+constexpr Milliseconds StopPause{400};
+/** A worker that fails runs of so many jobs in a row gets no more for a while; one run in fifty
+ * fails on sound workers. */
+constexpr std::uint32_t FailuresInRow = 3;
+/** So many orders in a row without an answer, and the worker gets no new ones. */
+constexpr std::uint32_t SilentOrders = 2;
+constexpr Milliseconds FailingPause{4000};
+constexpr Milliseconds RefusedPause{600};
+std::string nameOf(const JobTaskRef &task)
+{
+    return absl::StrCat(task.step.job.value(), ".", task.step.occurrence, ".", task.step.step, ".",
+                        task.index);
+}
+
+const char *nameOf(RunEnding ending)
+{
+    switch (ending) {
+    case RunEnding::Done:
+        return "done";
+    case RunEnding::Failed:
+        return "failed";
+    case RunEnding::Stopped:
+        return "stopped";
+    case RunEnding::Lapsed:
+        return "lease lapsed";
+    case RunEnding::Broken:
+        return "gang broken";
+    case RunEnding::Alone:
+        return "gang incomplete";
+    case RunEnding::NotStarted:
+        return "not started";
+    case RunEnding::Lost:
+        return "lost";
+    }
+    return "";
+}
+
+} // namespace
+
+RunDesk::RunDesk(Fence fence, const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
+                 RunSink &sink)
+    : m_fence(fence)
+    , m_book(book)
+    , m_pool(pool)
+    , m_advice(advice)
+    , m_sink(sink)
+{}
+
+void RunDesk::endRun(const WorkerLife &life, const JobTaskRef &task, RunEnding ending, Outbox &out)
+{
+    PooledWorker *const worker = m_pool.find(life);
+    if (worker == nullptr || !worker->runs.contains(task))
+        return;
+    const OpenRun &run = worker->runs.at(task);
+    out.note(task.step.job.value(),
+             absl::StrCat("run ended: task=", nameOf(task), " run=", run.run.value(),
+                          " worker=", life.worker.value(), " how=", nameOf(ending)));
+    m_sink.apply(RunEnded{task, run.run, ending, run.checkpoint});
+}
+
+void RunDesk::endRuns(const WorkerLife &life, RunEnding ending, Outbox &out)
+{
+    std::vector<JobTaskRef> tasks;
+    for (const auto &[task, run] : m_pool.find(life)->runs)
+        tasks.push_back(task);
+    for (const JobTaskRef &task : tasks)
+        endRun(life, task, ending, out);
+}
+
+void RunDesk::endLife(const WorkerLife &life, const char *reason, Outbox &out)
+{
+    PooledWorker *const worker = m_pool.find(life);
+    if (worker == nullptr)
+        return;
+    out.note(life.worker.value(), absl::StrCat("worker is gone: ", reason));
+    endRuns(life, RunEnding::Lost, out);
+    m_sink.apply(WorkerGone{life});
+    m_pool.remove(life);
+}
+
+void RunDesk::replaceLife(Instant now, const WorkerLife &old, const WorkerLife &next,
+                          const std::vector<RunListed> &running, Outbox &out)
+{
+    PooledWorker *const worker = m_pool.find(old);
+    if (worker == nullptr)
+        return;
+    std::map<JobTaskRef, RunNumber> moved;
+    for (const auto &[task, run] : worker->runs) {
+        const bool isListed = std::any_of(running.begin(), running.end(),
+                                          [&](const RunListed &each) { return each.task == task; });
+        const bool mayArrive = run.wasSent && (!run.isSettled || run.mayArriveLate);
+        if (old.worker == next.worker && (mayArrive || isListed))
+            moved.emplace(task, run.run);
+    }
+    for (const auto &[task, number] : moved) {
+        out.note(task.step.job.value(),
+                 absl::StrCat("run may be at work in the next life: task=", nameOf(task),
+                              " run=", number.value(), " worker=", next.worker.value(),
+                              " born=", next.born.value()));
+        m_sink.apply(RunMoved{task, number, next});
+        OpenRun &run = m_pool.find(next)->runs.at(task);
+        run.wasSent = true;
+        run.mayArriveLate = true;
+        run.isStopping = true;
+    }
+    endLife(old, "another life is at its place", out);
+    follow(now, *m_pool.find(next), out);
+}
+
+void RunDesk::receive(Instant now, const WorkerAnswer &answer, Outbox &out)
+{
+    const auto found = m_calls.find(answer.call);
+    if (found == m_calls.end())
+        return;
+    const Call call = std::move(found->second);
+    m_calls.erase(found);
+    PooledWorker *const worker = m_pool.find(call.life);
+    if (worker == nullptr)
+        return;
+    if (call.kind == OrderKind::Hold)
+        worker->isHoldInFlight = false;
+    const bool isOtherBirth = answer.born.has_value() && *answer.born > call.life.born;
+    if (answer.verdict == WorkerVerdict::OtherLife || isOtherBirth) {
+        otherLifeAnswered(now, call, answer, out);
+        return;
+    }
+    noteAnswer(now, *worker, call, answer, out);
+    if (call.kind == OrderKind::Start)
+        startAnswered(now, call, answer, out);
+    else if (call.kind == OrderKind::Stop)
+        stopAnswered(now, call, answer);
+    else
+        holdAnswered(now, call, answer, out);
+}
+
+void RunDesk::otherLifeAnswered(Instant now, const Call &call, const WorkerAnswer &answer,
+                                Outbox &out)
+{
+    const bool hasSameName = answer.verdict != WorkerVerdict::OtherLife;
+    if (!hasSameName) {
+        endLife(call.life, "another worker answers at its address", out);
+        return;
+    }
+    const WorkerLife next{call.life.worker, *answer.born};
+    if (m_pool.find(next) == nullptr) {
+        // It gets nothing before its own beat has told what it has.
+        WorkerReport report = m_pool.find(call.life)->report;
+        report.life = next;
+        report.isDraining = false;
+        m_sink.apply(WorkerSeen{report});
+        m_pool.put(now, report).isAnnounced = false;
+    }
+    replaceLife(now, call.life, next, answer.running, out);
+}
+
+void RunDesk::noteAnswer(Instant now, PooledWorker &worker, const Call &call,
+                         const WorkerAnswer &answer, Outbox &out)
+{
+    if (answer.verdict == WorkerVerdict::NoAnswer) {
+        out.add(LogLine{true, call.life.worker.value(), "no answer: " + answer.error});
+        // One order may get lost on the way; a list that does not come says more.
+        if (call.kind == OrderKind::Hold || ++worker.silentOrders >= SilentOrders)
+            worker.isFailing = true;
+        return;
+    }
+    worker.silentOrders = 0;
+    if (worker.isFailing)
+        out.note(call.life.worker.value(), "answers again");
+    worker.isFailing = false;
+    if (answer.clock.has_value())
+        WorkerPool::tellClock(worker, now, *answer.clock);
+}
+
+OpenRun *RunDesk::runOf(const Call &call)
+{
+    PooledWorker &worker = *m_pool.find(call.life);
+    const auto found = worker.runs.find(call.task);
+    if (found == worker.runs.end() || found->second.run != call.run)
+        return nullptr;
+    found->second.isCallInFlight = false;
+    return &found->second;
+}
+
+void RunDesk::startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out)
+{
+    OpenRun *const found = runOf(call);
+    if (found == nullptr)
+        return;
+    OpenRun &run = *found;
+    PooledWorker &worker = *m_pool.find(call.life);
+    run.nextAttempt = now + RetryPause;
+    switch (answer.verdict) {
+    case WorkerVerdict::Done:
+    case WorkerVerdict::Superseded:
+        run.isSettled = true;
+        worker.nextHold = std::min(worker.nextHold, now + RetryPause);
+        return;
+    case WorkerVerdict::NoAnswer:
+        run.mayArriveLate = true;
+        return;
+    case WorkerVerdict::Fenced:
+        return;
+    default:
+        break;
+    }
+    out.note(call.task.step.job.value(),
+             absl::StrCat("start refused: task=", nameOf(call.task),
+                          " worker=", call.life.worker.value(), " reason=", answer.error));
+    if (answer.verdict == WorkerVerdict::NoTicket)
+        m_advice.drop(call.task.step, call.life.worker);
+    else if (answer.verdict == WorkerVerdict::Refused)
+        worker.avoidUntil = now + RefusedPause;
+    if (run.mayArriveLate)
+        run.isStopping = true; // A stop makes the worker refuse the copy that may come yet.
+    else
+        endRun(call.life, call.task, RunEnding::NotStarted, out);
+}
+
+void RunDesk::stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer)
+{
+    OpenRun *const found = runOf(call);
+    if (found == nullptr)
+        return;
+    OpenRun &run = *found;
+    run.nextAttempt = now + (answer.verdict == WorkerVerdict::NoAnswer ? RetryPause : StopPause);
+    if (answer.verdict == WorkerVerdict::Done)
+        run.isSettled = true;
+}
+
+void RunDesk::holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out)
+{
+    PooledWorker &worker = *m_pool.find(call.life);
+    worker.nextHold = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : RetryPause);
+    if (answer.verdict != WorkerVerdict::Done)
+        return;
+    takeEnds(now, worker, answer.ended, out);
+    takeRunning(now, worker, call, answer, out);
+}
+
+void RunDesk::takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
+                       Outbox &out)
+{
+    const WorkerLife life = worker.report.life;
+    for (const EndListed &end : ended) {
+        if (end.number <= worker.recorded)
+            continue;
+        worker.recorded = end.number;
+        out.note(end.task.step.job.value(),
+                 absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
+                              " worker=", life.worker.value(), " how=", nameOf(end.ending)));
+        if (end.ending == RunEnding::Done) {
+            notePace(now, worker, end);
+            worker.failuresInRow = 0;
+        } else if (end.ending == RunEnding::Failed) {
+            noteFailure(now, worker, end.task.step.job, out);
+        }
+        m_sink.apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
+        m_sink.endsRecorded(life, end.number);
+    }
+}
+
+void RunDesk::noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
+{
+    if (worker.lastFailed == job && worker.failuresInRow > 0)
+        return;
+    worker.lastFailed = job;
+    if (++worker.failuresInRow < FailuresInRow)
+        return;
+    worker.avoidUntil = now + FailingPause;
+    out.add(LogLine{true, worker.report.life.worker.value(),
+                    absl::StrCat("avoided for a while: runs of jobs that failed in a row=",
+                                 worker.failuresInRow)});
+}
+
+void RunDesk::notePace(Instant now, PooledWorker &worker, const EndListed &end)
+{
+    const auto run = worker.runs.find(end.task);
+    if (run == worker.runs.end() || run->second.run != end.run
+        || !run->second.startedAt.has_value())
+        return;
+    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
+    // Best-effort runs take as long as others let them.
+    if (step.estimate <= Milliseconds(0) || step.isBestEffort || step.isLasting)
+        return;
+    const Milliseconds taken = now - *run->second.startedAt;
+    worker.pace.note(taken, step.estimate);
+    m_pool.usualPace().note(taken, step.estimate);
+}
+
+void RunDesk::takeRunning(Instant now, PooledWorker &worker, const Call &call,
+                          const WorkerAnswer &answer, Outbox &out)
+{
+    std::set<JobTaskRef> present;
+    for (const RunListed &listed : answer.running) {
+        const auto found = worker.runs.find(listed.task);
+        if (found == worker.runs.end() || found->second.run != listed.run) {
+            const bool isKnown = found != worker.runs.end() && found->second.run > listed.run;
+            if (found == worker.runs.end() || isKnown)
+                orderStop(now, worker, listed.task, listed.run, out);
+            continue;
+        }
+        present.insert(listed.task);
+        found->second.isSettled = true;
+        found->second.checkpoint = listed.checkpoint;
+    }
+    std::vector<JobTaskRef> lost;
+    for (const auto &[task, run] : worker.runs) {
+        if (!present.contains(task) && call.settled.contains(task) && run.isSettled)
+            lost.push_back(task);
+    }
+    for (const JobTaskRef &task : lost)
+        endRun(worker.report.life, task, RunEnding::Lost, out);
+}
+
+void RunDesk::tick(Instant now, Outbox &out)
+{
+    endLapsed(now, out);
+    for (auto &[life, worker] : m_pool.all())
+        follow(now, worker, out);
+}
+
+void RunDesk::endLapsed(Instant now, Outbox &out)
+{
+    constexpr Milliseconds ForgottenAfter{15'000};
+    std::vector<WorkerLife> gone;
+    for (auto &[life, worker] : m_pool.all()) {
+        const bool isSilent = now - worker.lastBeat > ForgottenAfter;
+        if ((!worker.isFailing && !isSilent) || !m_pool.isLapsed(worker, now))
+            continue;
+        endRuns(life, RunEnding::Lapsed, out);
+        if (isSilent)
+            gone.push_back(life);
+    }
+    for (const WorkerLife &life : gone)
+        endLife(life, "no beat and no answer", out);
+}
+
+bool RunDesk::isWanted(const JobTaskRef &task) const
+{
+    const auto job = m_book.jobs.find(task.step.job);
+    if (job == m_book.jobs.end() || job->second.isOver())
+        return false;
+    const TaskProgress *const progress = jobbook::find(m_book, task);
+    return progress != nullptr && !progress->isDone;
+}
+
+void RunDesk::follow(Instant now, PooledWorker &worker, Outbox &out)
+{
+    for (auto &[task, run] : worker.runs) {
+        if (!run.wasSent || run.isCallInFlight || now < run.nextAttempt)
+            continue;
+        if (run.isStopping || !isWanted(task)) {
+            run.isCallInFlight = true;
+            orderStop(now, worker, task, run.run, out);
+        } else if (!run.isSettled) {
+            orderStart(now, worker, task, out);
+        }
+    }
+    const bool hasNews = worker.noted < worker.recorded;
+    if (worker.isHoldInFlight || now < worker.nextHold || hasNews)
+        return;
+    if (!worker.runs.empty() || !worker.clock.has_value())
+        hold(now, worker, out);
+}
+
+void RunDesk::hold(Instant now, PooledWorker &worker, Outbox &out)
+{
+    const bool waits = !worker.isFailing && worker.clock.has_value();
+    Call call{OrderKind::Hold, worker.report.life, {}, {}, {}};
+    for (const auto &[task, run] : worker.runs) {
+        if (run.isSettled && run.wasSent)
+            call.settled.insert(task);
+    }
+    CallWorker effect
+            = callTo(now, worker, OrderHold{worker.noted, waits ? HoldWait : Milliseconds(0)});
+    // A worker that does not answer is granted nothing more, or its lease would never be over.
+    effect.leaseUntil = worker.isFailing ? 0 : WorkerPool::grant(worker, now).value_or(0);
+    effect.timeout = OrderTimeout + (waits ? HoldWait : Milliseconds(0));
+    m_calls.emplace(effect.call, std::move(call));
+    worker.isHoldInFlight = true;
+    out.add(std::move(effect));
+}
+
+CallWorker RunDesk::callTo(Instant now, const PooledWorker &worker, WorkerOrder order)
+{
+    CallWorker call;
+    call.call = CallId(++m_lastCall);
+    call.address = worker.report.address;
+    call.life = worker.report.life;
+    call.fence = m_fence;
+    call.order = std::move(order);
+    call.validUntil = now + OrderValidity;
+    call.timeout = OrderTimeout;
+    return call;
+}
+
+void RunDesk::orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, Outbox &out)
+{
+    OpenRun &run = worker.runs.at(task);
+    // A repetition extends no lease: of a worker that does not answer it would never be over.
+    const bool isRepetition = run.startedAt.has_value() && worker.grantedUntil > 0;
+    run.wasSent = true;
+    const std::optional<std::int64_t> until
+            = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now);
+    if (!until.has_value())
+        return;
+    const Job &job = m_book.jobs.at(task.step.job);
+    CallWorker effect = callTo(now, worker,
+                               OrderStart{task, run.run,
+                                          std::make_shared<const std::string>(job.spec.payload),
+                                          jobbook::find(m_book, task)->checkpoint, run.ticket});
+    effect.leaseUntil = *until;
+    m_calls.emplace(effect.call, Call{OrderKind::Start, worker.report.life, task, run.run, {}});
+    out.note(task.step.job.value(),
+             absl::StrCat(isRepetition ? "start repeated: task=" : "start ordered: task=",
+                          nameOf(task), " run=", run.run.value(),
+                          " worker=", worker.report.life.worker.value(), " lease_until=", *until));
+    run.isCallInFlight = true;
+    if (!run.startedAt.has_value())
+        run.startedAt = now;
+    out.add(std::move(effect));
+}
+
+void RunDesk::orderStop(Instant now, PooledWorker &worker, const JobTaskRef &task, RunNumber run,
+                        Outbox &out)
+{
+    CallWorker effect = callTo(now, worker, OrderStop{task, run});
+    m_calls.emplace(effect.call, Call{OrderKind::Stop, worker.report.life, task, run, {}});
+    out.note(task.step.job.value(),
+             absl::StrCat("stop ordered: task=", nameOf(task), " run=", run.value(),
+                          " worker=", worker.report.life.worker.value()));
+    out.add(std::move(effect));
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/run_desk.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "control/jobs/advice_desk.h"
+#include "control/jobs/job_book.h"
+#include "control/jobs/worker_pool.h"
+#include "control/outbox.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace gentiancross {
+
+/** Takes what the orders to workers bring about. */
+class RunSink
+{
+public:
+    RunSink() = default;
+    RunSink(const RunSink &) = delete;
+    RunSink &operator=(const RunSink &) = delete;
+    virtual ~RunSink() = default;
+
+    /** Changes the book, and the log with the next entry. */
+    virtual void apply(JobRecord record) = 0;
+    /** All ends up to \a number were applied; the worker may forget them once they are durable. */
+    virtual void endsRecorded(const WorkerLife &life, EndNumber number) = 0;
+};
+
+/**
+ * Follows the runs on workers: orders starts and stops until they are answered, renews leases,
+ * takes ends in, and finds out which runs are lost. Thread safety: owned by the control thread.
+ */
+class RunDesk
+{
+public:
+    /** All must outlive this object. */
+    RunDesk(Fence fence, const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
+            RunSink &sink);
+
+    /** Orders a run whose record is durable. Precondition: it is open on \a worker. */
+    void orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, Outbox &out);
+    void receive(Instant now, const WorkerAnswer &answer, Outbox &out);
+    /** Ends what lapsed and follows all workers. */
+    void tick(Instant now, Outbox &out);
+    /** Repeats orders that are due and asks for what runs. */
+    void follow(Instant now, PooledWorker &worker, Outbox &out);
+    /** The run is over, or never began, without the worker's list saying so. */
+    void endRun(const WorkerLife &life, const JobTaskRef &task, RunEnding ending, Outbox &out);
+    /** The life is over and no other is at its place. */
+    void endLife(const WorkerLife &life, const char *reason, Outbox &out);
+    /**
+     * Another life is at the place of \a old. Orders that \a old may not have seen can reach \a
+     * next if it has the same name; such runs go over to it and are stopped there. Precondition: \a
+     * next is in the pool.
+     */
+    void replaceLife(Instant now, const WorkerLife &old, const WorkerLife &next,
+                     const std::vector<RunListed> &running, Outbox &out);
+    /** False if the run of the task is of no use any more. */
+    [[nodiscard]] bool isWanted(const JobTaskRef &task) const;
+
+private:
+    enum class OrderKind { Start, Stop, Hold };
+
+    struct Call
+    {
+        OrderKind kind = OrderKind::Hold;
+        WorkerLife life;
+        JobTaskRef task;
+        RunNumber run;
+        /** Runs that were settled when the call left, so that a list without them is proof. */
+        std::set<JobTaskRef> settled;
+    };
+
+    /** The run that a call was about; null if it is over or another is open. */
+    OpenRun *runOf(const Call &call);
+    void noteAnswer(Instant now, PooledWorker &worker, const Call &call, const WorkerAnswer &answer,
+                    Outbox &out);
+    void otherLifeAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
+    void startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
+    void stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer);
+    void holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
+    void takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
+                  Outbox &out);
+    static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
+    void notePace(Instant now, PooledWorker &worker, const EndListed &end);
+    void takeRunning(Instant now, PooledWorker &worker, const Call &call,
+                     const WorkerAnswer &answer, Outbox &out);
+    void endRuns(const WorkerLife &life, RunEnding ending, Outbox &out);
+    void endLapsed(Instant now, Outbox &out);
+    void hold(Instant now, PooledWorker &worker, Outbox &out);
+    void orderStop(Instant now, PooledWorker &worker, const JobTaskRef &task, RunNumber run,
+                   Outbox &out);
+    /** An order for the worker, with all but its lease. */
+    CallWorker callTo(Instant now, const PooledWorker &worker, WorkerOrder order);
+
+    Fence m_fence;
+    const JobBookData &m_book;
+    WorkerPool &m_pool;
+    AdviceDesk &m_advice;
+    RunSink &m_sink;
+    std::map<CallId, Call> m_calls;
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace gentiancross
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -84,8 +84,9 @@
 
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
-    return !worker.report.isDraining && !worker.isFailing && worker.clock.has_value()
-            && now - worker.lastBeat < BeatAge && now >= worker.avoidUntil;
+    return worker.isAnnounced && !worker.report.isDraining && !worker.isFailing
+            && worker.clock.has_value() && now - worker.lastBeat < BeatAge
+            && now >= worker.avoidUntil;
 }
 
 } // namespace gentiancross
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -23,7 +23,7 @@
     bool wasSent = false;
     /** The worker has answered an order about it, so a list without it is proof that it ended. */
     bool isSettled = false;
-    /** A copy of the start may still be under way. */
+    /** A copy of the start may still be under way, to this life or the worker's next. */
     bool mayArriveLate = false;
     bool isCallInFlight = false;
     bool isStopping = false;
@@ -44,6 +44,8 @@
     MilliCores bestEffortCores;
     std::uint32_t tailTargets = 0;
     std::map<JobTaskRef, OpenRun> runs;
+    /** False for a life that has only answered yet: what it has is not known. */
+    bool isAnnounced = true;
     Instant lastBeat;
     std::uint64_t lastSequence = 0;
     /** The worker's clock as of `clockAt` on this host's. */
--- a/core/effects.h
+++ b/core/effects.h
@@ -229,7 +229,7 @@
     Fence fence;
     /** On the worker's clock: everything that runs there may run until then. */
     std::int64_t leaseUntil = 0;
-    std::variant<OrderStart, OrderStop, OrderHold> order;
+    WorkerOrder order;
     Instant validUntil;
     Milliseconds timeout;
 };
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -296,6 +296,8 @@
     Milliseconds wait;
 };
 
+using WorkerOrder = std::variant<OrderStart, OrderStop, OrderHold>;
+
 /** A run that a worker says is at work. */
 struct RunListed
 {
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -203,8 +203,23 @@
     }
 };
 
+/** The run may be at work in another life of its worker, which an order to the former may reach. */
+struct RunMoved
+{
+    JobTaskRef task;
+    RunNumber run;
+    WorkerLife worker;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.task, self.run, self.worker);
+    }
+};
+
+/** New alternatives go to the end: their places are what journals hold. */
 using JobRecord = std::variant<DocumentAccepted, JobAccepted, JobCancelled, OccurrenceBegun,
-                               RunOrdered, RunEnded, WorkerSeen, WorkerGone>;
+                               RunOrdered, RunEnded, WorkerSeen, WorkerGone, RunMoved>;
 
 /** Changes of the job book that are agreed on together, in this order. */
 struct JobChanges
--- a/main/cell_command.cpp
+++ b/main/cell_command.cpp
@@ -14,6 +14,8 @@
 {
     Arguments arguments("cell", "runs a host of a cell on a platform");
     const std::string &path = arguments.text("boot", "The platform's settings file");
+    const std::string &peerIp = arguments.text(
+            "peer-ip", "Where to listen for other hosts, if their connections are forwarded here");
     absl::Status status = arguments.parse(words);
     if (!status.ok())
         return status;
@@ -27,6 +29,7 @@
     if (!boot.ok())
         return boot.status();
     settings.boot = *std::move(boot);
+    settings.peerIp = peerIp.empty() ? settings.boot.ip : peerIp;
     return settings;
 }
 
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -159,7 +159,7 @@
     journalServer.start();
     peers.start();
     control.start();
-    absl::Status status = peerListener.start(boot.ip, boot.firstPort);
+    absl::Status status = peerListener.start(settings.peerIp, boot.firstPort);
     if (status.ok())
         status = front.start();
     if (status.ok()) {
--- a/main/cell_host.h
+++ b/main/cell_host.h
@@ -14,6 +14,8 @@
     /** Path of the platform's settings file; it is read again when it changes. */
     std::string bootPath;
     platform::BootFile boot;
+    /** Where this host listens for other hosts. */
+    std::string peerIp;
     std::string fleetSecret;
 };
 
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -327,3 +327,52 @@
     for (const AdviceAsk &ask : again)
         CHECK(ask.workers == std::vector<WorkerId>{WorkerId("w")});
 }
+
+TEST_CASE("A start that may reach the worker's next life is stopped there before it runs elsewhere")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("v");
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.beat("w");
+    // The worker starts anew under its name while the order is under way, and the new life takes
+    // it.
+    bench.beat("v", 2);
+    CHECK(bench.takeStarts().empty());
+    std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].life == makeLife("v", 2));
+    bench.answer(stops[0], WorkerVerdict::Done);
+    // It is still being stopped.
+    bench.answerHold("v", {listed(jobA, 0, 1)});
+    CHECK(bench.takeStarts().empty());
+    bench.answerHold("v", {}, {ended(1, jobA, 0, 1, RunEnding::Stopped)});
+    const std::vector<CallWorker> again = bench.takeStarts();
+    REQUIRE(again.size() == 1);
+    CHECK(std::get<OrderStart>(again[0].order).run == RunNumber(2));
+}
+
+TEST_CASE(
+        "A life that shows only by its answer takes over what may run there, and gets nothing new")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("v");
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    // The question to the former life gets no answer any more.
+    REQUIRE(bench.takeHold("v").has_value());
+    bench.answer(starts[0], WorkerVerdict::Done, 2);
+    CHECK(bench.takeStarts().empty());
+    const std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].life == makeLife("v", 2));
+    bench.answer(stops[0], WorkerVerdict::Done, 2);
+    bench.answerHold("v", {}, {ended(1, jobA, 0, 1, RunEnding::Stopped)});
+    CHECK(bench.takeStarts().empty());
+    bench.beat("v", 2);
+    CHECK(bench.takeStarts().size() == 1);
+}
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -98,13 +98,15 @@
     call(beat);
 }
 
-void LeaderBench::answer(const CallWorker &order, WorkerVerdict verdict)
+void LeaderBench::answer(const CallWorker &order, WorkerVerdict verdict, std::int64_t born)
 {
     WorkerAnswer answer;
     answer.call = order.call;
     answer.verdict = verdict;
     if (verdict != WorkerVerdict::NoAnswer)
         answer.clock = m_now.value();
+    if (born != 0)
+        answer.born = Milliseconds(born);
     m_leader.receive(m_now, answer, m_out);
     settle();
 }
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -24,7 +24,8 @@
     CallAnswer look(const std::string &id, JobVerb verb = JobVerb::Look);
     /** A worker of 1,000 thousandths of a core sends a beat. */
     void beat(const std::string &worker, std::int64_t born = 1, bool isDraining = false);
-    void answer(const CallWorker &order, WorkerVerdict verdict);
+    /** The life that began at \a born answers; 0 if the answer does not say which. */
+    void answer(const CallWorker &order, WorkerVerdict verdict, std::int64_t born = 0);
     /** Answers the newest question for what runs on the worker. */
     void answerHold(const std::string &worker, std::vector<RunListed> running,
                     std::vector<EndListed> ended = {});
--- a/tests/runner/fleet.cpp
+++ b/tests/runner/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/codec.h"
 #include "tests/runner/sender.h"
+#include "tests/runner/spawn.h"
 
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
@@ -10,11 +11,9 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -130,25 +129,6 @@
     return ip(CallerNet, host(name).number) + ':' + std::to_string(CallerPort);
 }
 
-pid_t Fleet::spawn(const std::vector<std::string> &words, const std::string &log)
-{
-    std::vector<char *> raw;
-    raw.reserve(words.size() + 1);
-    for (const std::string &word : words)
-        raw.push_back(const_cast<char *>(word.c_str()));
-    raw.push_back(nullptr);
-    const pid_t process = ::fork();
-    if (process != 0)
-        return process;
-    // Whatever ends the runner ends what it started.
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::dup2(file, STDOUT_FILENO);
-    ::dup2(file, STDERR_FILENO);
-    ::execv(raw[0], raw.data());
-    ::_exit(127);
-}
-
 void Fleet::start(const std::string &name)
 {
     FleetHost &self = mutableHost(name);
--- a/tests/runner/fleet.h
+++ b/tests/runner/fleet.h
@@ -109,7 +109,6 @@
     [[nodiscard]] std::string ip(int third, int fourth) const;
     [[nodiscard]] std::string hostsFor(const FleetHost &host) const;
     FleetHost &mutableHost(const std::string &name);
-    static pid_t spawn(const std::vector<std::string> &words, const std::string &log);
 
     Options m_options;
     std::vector<FleetHost> m_hosts;
--- a/tests/runner/relay.cpp
+++ b/tests/runner/relay.cpp
@@ -66,6 +66,30 @@
     m_cut[route] = cut;
 }
 
+void Relay::reset(const std::string &route)
+{
+    const std::lock_guard lock(m_mutex);
+    m_toReset.insert(route);
+}
+
+void Relay::resetMarked()
+{
+    std::set<std::string> routes;
+    {
+        const std::lock_guard lock(m_mutex);
+        routes.swap(m_toReset);
+    }
+    for (auto &link : m_links) {
+        if (!routes.contains(link->route))
+            continue;
+        // Without lingering, closing sends a reset.
+        const linger none{1, 0};
+        for (const int end : link->ends)
+            ::setsockopt(end, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+        closeLink(*link);
+    }
+}
+
 bool Relay::isCut(const std::string &route)
 {
     const std::lock_guard lock(m_mutex);
@@ -82,6 +106,8 @@
 void Relay::run()
 {
     while (!m_stopping) {
+        resetMarked();
+        std::erase_if(m_links, [](const auto &link) { return link->closed; });
         std::vector<pollfd> waits;
         std::vector<std::pair<Link *, int>> owners;
         for (const Listening &listening : m_listening)
--- a/tests/runner/relay.h
+++ b/tests/runner/relay.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -37,6 +38,8 @@
     /** Returns false if an address can't be had. */
     bool start(const std::vector<RelayRoute> &routes);
     void setCut(const std::string &route, bool cut);
+    /** Closes the route's connections without an end, as a reset does. */
+    void reset(const std::string &route);
     /** The bytes carried on a route, both ways. */
     std::uint64_t bytesCarried(const std::string &route);
 
@@ -61,11 +64,13 @@
     void pump(Link &link, bool forward);
     void closeLink(Link &link);
     bool isCut(const std::string &route);
+    void resetMarked();
 
     std::vector<Listening> m_listening;
     std::vector<std::unique_ptr<Link>> m_links;
     std::mutex m_mutex;
     std::map<std::string, bool> m_cut;
+    std::set<std::string> m_toReset;
     std::map<std::string, std::uint64_t> m_carried;
     std::thread m_thread;
     std::atomic<bool> m_stopping = false;
--- /dev/null
+++ b/tests/runner/spawn.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace gentiancross::tests {
+
+/** Starts a program with its output appended to \a log; it ends with this process. */
+pid_t spawn(const std::vector<std::string> &words, const std::string &log);
+
+} // namespace gentiancross::tests
