--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -7,8 +7,14 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
+#include <chrono>
 #include <mutex>
+#include <optional>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -17,9 +23,13 @@
 
 namespace {
 
-constexpr int LongestPollMilliseconds = 1000;
+constexpr int LongestWaitMilliseconds = 1000;
 constexpr long ConnectTimeoutMilliseconds = 700;
-constexpr long MostIdleConnections = 256;
+/** Two for each worker of a large cell, which takes half of a small host's descriptors. */
+constexpr long MostIdleConnections = 2048;
+/** Handles kept for the next calls; more are only used in bursts. */
+constexpr std::size_t MostIdleHandles = 64;
+constexpr int MostReadySockets = 64;
 constexpr std::size_t LargestAnswer = 64 << 20;
 
 std::string trimmed(std::string text)
@@ -30,6 +40,19 @@
     return text;
 }
 
+/** What epoll has seen, in the library's terms. */
+int selectMask(std::uint32_t events)
+{
+    int mask = 0;
+    if ((events & EPOLLIN) != 0)
+        mask |= CURL_CSELECT_IN;
+    if ((events & EPOLLOUT) != 0)
+        mask |= CURL_CSELECT_OUT;
+    if ((events & (EPOLLERR | EPOLLHUP)) != 0)
+        mask |= CURL_CSELECT_ERR;
+    return mask;
+}
+
 } // namespace
 
 class HttpClient::Implementation final : public ACE_Task_Base
@@ -37,16 +60,27 @@
 public:
     explicit Implementation(long mostPerPeer)
         : m_multi(curl_multi_init())
+        , m_epoll(::epoll_create1(EPOLL_CLOEXEC))
+        , m_wake(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
     {
         curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, mostPerPeer);
         curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MostIdleConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        watch(EPOLL_CTL_ADD, m_wake, EPOLLIN);
         activate();
     }
 
     ~Implementation() override
     {
         stop();
+        for (CURL *const easy : m_idle)
+            curl_easy_cleanup(easy);
         curl_multi_cleanup(m_multi);
+        ::close(m_wake);
+        ::close(m_epoll);
     }
 
     void start(HttpCall call, Completion completion);
@@ -65,8 +99,16 @@
         bool tooLarge = false;
     };
 
+    using SteadyClock = std::chrono::steady_clock;
+
+    static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *data);
+    static int onTimer(CURLM *multi, long milliseconds, void *self);
     static size_t onBody(char *data, size_t size, size_t count, void *target);
     static size_t onHeader(char *data, size_t size, size_t count, void *target);
+    void watch(int operation, int socket, std::uint32_t events) const;
+    void wakeUp() const;
+    [[nodiscard]] int waitTime() const;
+    void waitAndServe();
     void addNew();
     void begin(std::unique_ptr<Transfer> transfer);
     void finishDone();
@@ -76,6 +118,13 @@
     static bool isWhole(const Transfer &transfer);
 
     CURLM *m_multi;
+    int m_epoll;
+    /** Readable when calls were added or the client is to stop. */
+    int m_wake;
+    /** When the library wants to be called next. */
+    std::optional<SteadyClock::time_point> m_nextCall;
+    /** Set up anew for each call, which costs less than making them anew. */
+    std::vector<CURL *> m_idle;
     std::mutex m_mutex;
     std::vector<std::unique_ptr<Transfer>> m_new;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_running;
@@ -87,12 +136,16 @@
     auto transfer = std::make_unique<Transfer>();
     transfer->call = std::move(call);
     transfer->completion = std::move(completion);
+    bool isFirst = false;
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_stopping)
-            m_new.push_back(std::move(transfer));
+        if (m_stopping)
+            return;
+        isFirst = m_new.empty();
+        m_new.push_back(std::move(transfer));
     }
-    curl_multi_wakeup(m_multi);
+    if (isFirst)
+        wakeUp();
 }
 
 void HttpClient::Implementation::stop()
@@ -101,10 +154,62 @@
         const std::lock_guard lock(m_mutex);
         m_stopping = true;
     }
-    curl_multi_wakeup(m_multi);
+    wakeUp();
     wait();
 }
 
+void HttpClient::Implementation::wakeUp() const
+{
+    const std::uint64_t one = 1;
+    // It can only fail when the counter is full, and then the thread wakes up all the same.
+    [[maybe_unused]] const ssize_t written = ::write(m_wake, &one, sizeof(one));
+}
+
+void HttpClient::Implementation::watch(int operation, int socket, std::uint32_t events) const
+{
+    epoll_event event = {};
+    event.events = events;
+    event.data.fd = socket;
+    ::epoll_ctl(m_epoll, operation, socket, &event);
+}
+
+int HttpClient::Implementation::onSocket(CURL *, curl_socket_t socket, int what, void *self,
+                                         void *data)
+{
+    auto &client = *static_cast<Implementation *>(self);
+    if (what == CURL_POLL_REMOVE) {
+        client.watch(EPOLL_CTL_DEL, socket, 0);
+        return 0;
+    }
+    std::uint32_t events = 0;
+    if ((what & CURL_POLL_IN) != 0)
+        events |= EPOLLIN;
+    if ((what & CURL_POLL_OUT) != 0)
+        events |= EPOLLOUT;
+    client.watch(data == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, events);
+    // Any value but null says that the socket is being watched.
+    curl_multi_assign(client.m_multi, socket, self);
+    return 0;
+}
+
+int HttpClient::Implementation::onTimer(CURLM *, long milliseconds, void *self)
+{
+    auto &client = *static_cast<Implementation *>(self);
+    client.m_nextCall.reset();
+    if (milliseconds >= 0)
+        client.m_nextCall = SteadyClock::now() + std::chrono::milliseconds(milliseconds);
+    return 0;
+}
+
+int HttpClient::Implementation::waitTime() const
+{
+    if (!m_nextCall.has_value())
+        return LongestWaitMilliseconds;
+    const auto left
+            = std::chrono::ceil<std::chrono::milliseconds>(*m_nextCall - SteadyClock::now());
+    return std::clamp(static_cast<int>(left.count()), 0, LongestWaitMilliseconds);
+}
+
 int HttpClient::Implementation::svc()
 {
     while (true) {
@@ -114,16 +219,34 @@
                 break;
         }
         addNew();
-        int running = 0;
-        curl_multi_perform(m_multi, &running);
+        waitAndServe();
         finishDone();
-        curl_multi_poll(m_multi, nullptr, 0, LongestPollMilliseconds, nullptr);
     }
     while (!m_running.empty())
         finish(m_running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     return 0;
 }
 
+void HttpClient::Implementation::waitAndServe()
+{
+    std::array<epoll_event, MostReadySockets> ready;
+    const int count = ::epoll_wait(m_epoll, ready.data(), MostReadySockets, waitTime());
+    int running = 0;
+    for (int index = 0; index < count; ++index) {
+        const epoll_event &event = ready[static_cast<std::size_t>(index)];
+        if (event.data.fd == m_wake) {
+            std::uint64_t wakes = 0;
+            [[maybe_unused]] const ssize_t got = ::read(m_wake, &wakes, sizeof(wakes));
+            continue;
+        }
+        curl_multi_socket_action(m_multi, event.data.fd, selectMask(event.events), &running);
+    }
+    if (m_nextCall.has_value() && *m_nextCall <= SteadyClock::now()) {
+        m_nextCall.reset();
+        curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+}
+
 void HttpClient::Implementation::addNew()
 {
     std::vector<std::unique_ptr<Transfer>> added;
@@ -137,7 +260,14 @@
 
 void HttpClient::Implementation::begin(std::unique_ptr<Transfer> transfer)
 {
-    CURL *const easy = curl_easy_init();
+    CURL *easy = nullptr;
+    if (m_idle.empty()) {
+        easy = curl_easy_init();
+    } else {
+        easy = m_idle.back();
+        m_idle.pop_back();
+        curl_easy_reset(easy);
+    }
     transfer->easy = easy;
     for (const auto &[name, value] : transfer->call.headers)
         transfer->headers
@@ -207,7 +337,10 @@
     Transfer &transfer = *node.mapped();
     HttpResult result = resultOf(transfer, code);
     curl_multi_remove_handle(m_multi, easy);
-    curl_easy_cleanup(easy);
+    if (m_idle.size() < MostIdleHandles)
+        m_idle.push_back(easy);
+    else
+        curl_easy_cleanup(easy);
     curl_slist_free_all(transfer.headers);
     transfer.completion(std::move(result));
 }
