--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -35,7 +35,8 @@
 
 /**
  * Makes HTTP calls on one thread of its own, on libcurl's multi interface; the thread waits in
- * epoll, so that calls that wait for their answers cost nothing meanwhile. Thread safety: all methods may be called from any thread.
+ * epoll, so that calls that wait for their answers cost nothing meanwhile. Thread safety: all
+ * methods may be called from any thread.
  */
 class HttpClient
 {
