--- a/benchmarks/cell_load.cpp
+++ b/benchmarks/cell_load.cpp
@@ -2,10 +2,9 @@
 
 #include "benchmarks/report.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 namespace gentiancross::benchmarks {
 
@@ -26,8 +25,8 @@
 constexpr int WorkersPerRack = 6;
 constexpr std::size_t PayloadBytes = 2400;
 
-constexpr char ShortQueue[] = "/short/";
-constexpr char LongQueue[] = "/long/";
+const char ShortQueue[] = "/short/";
+const char LongQueue[] = "/long/";
 
 QueueConfig queue(const std::string &name, std::int64_t priority, AdviceTerms advice)
 {
@@ -101,7 +100,7 @@
             drive([&] {
                 for (int index = 0; index < m_shape.callers; ++index)
                     m_leader.adviserSeen(m_now, HostId("caller" + std::to_string(index)));
-                m_leader.tick(m_now, m_wall, Milliseconds(0), m_out);
+                m_leader.tick(m_now, m_wall, m_out);
             });
             continue;
         }
@@ -237,8 +236,10 @@
 {
     const double perSecond = isShort ? m_shape.shortJobs : m_shape.longJobs;
     at(Milliseconds(std::int64_t(drawn(MillisecondsPerSecond / perSecond))), [this, isShort] {
-        constexpr std::uint64_t Scatter = 0x9E3779B97F4A7C15ULL;
-        const JobId id(absl::StrCat(absl::Hex(++m_jobs * Scatter, absl::kZeroPad16)));
+        std::array<char, 17> name{};
+        std::snprintf(name.data(), name.size(), "%016llx",
+                      static_cast<unsigned long long>(++m_jobs * 0x9E3779B97F4A7C15ULL));
+        const JobId id(name.data());
         m_accepted.emplace(id, m_now);
         if (isShort)
             m_shortJobs.insert(id);
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -184,11 +184,11 @@
     answer(origin, CallDone{});
 }
 
-void CellLeader::tick(Instant now, Milliseconds wall, Milliseconds lag, Outbox &out)
+void CellLeader::tick(Instant now, Milliseconds wall, Outbox &out)
 {
     m_advice.tick(now, out);
     beginDue(wall);
-    m_runs.tick(now, lag, out);
+    m_runs.tick(now, out);
     // Workers become usable again, and tickets end, by time alone.
     m_planner.noteChange();
 }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -70,9 +70,8 @@
         m_planner.noteChange();
     }
     void adviserSeen(Instant now, const HostId &host) { m_advice.hostSeen(now, host); }
-    /** Renews leases, repeats orders, finds what is lost and what is due. \a lag is how long the
-     * tick has waited behind other events. */
-    void tick(Instant now, Milliseconds wall, Milliseconds lag, Outbox &out);
+    /** Renews leases, repeats orders, finds what is lost and what is due. */
+    void tick(Instant now, Milliseconds wall, Outbox &out);
     /** Orders what can start now. */
     void startReady(Instant now, Outbox &out) { m_planner.plan(now, *this, out); }
     /** What was decided since the last call. */
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -60,15 +60,14 @@
     return m_out.take();
 }
 
-void CellRoot::handle(const Ticked &event)
+void CellRoot::handle(const Ticked &)
 {
-    const Milliseconds lag = event.postedAt == Instant() ? Milliseconds(0) : m_now - event.postedAt;
     if (m_agreement.has_value()) {
         m_agreement->tick(m_now, m_out);
         adjustLeader();
         adjustVoters();
         if (m_leader != nullptr && isConfirmed())
-            m_leader->tick(m_now, m_wall, lag, m_out);
+            m_leader->tick(m_now, m_wall, m_out);
     }
     if (m_leader == nullptr)
         m_relay.tick(m_now, m_out);
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -15,8 +15,6 @@
 /** An order that waits longer on its way to the network is decided anew. */
 constexpr Milliseconds OrderValidity{400};
 constexpr Milliseconds RetryPause{150};
-/** Four ticks; a host that does its work in time has none waiting. */
-constexpr Milliseconds MostLag{200};
 constexpr Milliseconds StopPause{400};
 /** A worker that fails runs of so many jobs in a row gets no more for a while; one run in fifty
  * fails on sound workers. */
@@ -103,13 +101,12 @@
     PooledWorker *const worker = m_pool.find(old);
     if (worker == nullptr)
         return;
-    std::set<JobTaskRef> listed;
-    for (const RunListed &each : running)
-        listed.insert(each.task);
     std::map<JobTaskRef, RunNumber> moved;
     for (const auto &[task, run] : worker->runs) {
+        const bool isListed = std::any_of(running.begin(), running.end(),
+                                          [&](const RunListed &each) { return each.task == task; });
         const bool mayArrive = run.wasSent && (!run.isSettled || run.mayArriveLate);
-        if (old.worker == next.worker && (mayArrive || listed.contains(task)))
+        if (old.worker == next.worker && (mayArrive || isListed))
             moved.emplace(task, run.run);
     }
     for (const auto &[task, number] : moved) {
@@ -332,12 +329,9 @@
         endRun(worker.report.life, task, RunEnding::Lost, out);
 }
 
-void RunDesk::tick(Instant now, Milliseconds lag, Outbox &out)
+void RunDesk::tick(Instant now, Outbox &out)
 {
-    if (lag > MostLag)
-        m_silenceCountsFrom = now + HoldWait + OrderTimeout;
-    if (now >= m_silenceCountsFrom)
-        endLapsed(now, out);
+    endLapsed(now, out);
     for (auto &[life, worker] : m_pool.all())
         follow(now, worker, out);
 }
--- a/control/jobs/run_desk.h
+++ b/control/jobs/run_desk.h
@@ -40,9 +40,8 @@
     /** Orders a run whose record is durable. Precondition: it is open on \a worker. */
     void orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, Outbox &out);
     void receive(Instant now, const WorkerAnswer &answer, Outbox &out);
-    /** Ends what lapsed and follows all workers. \a lag is how long the tick has waited behind
-     * other events: answers that have come may wait as long, so silence proves nothing. */
-    void tick(Instant now, Milliseconds lag, Outbox &out);
+    /** Ends what lapsed and follows all workers. */
+    void tick(Instant now, Outbox &out);
     /** Repeats orders that are due and asks for what runs. */
     void follow(Instant now, PooledWorker &worker, Outbox &out);
     /** The run is over, or never began, without the worker's list saying so. */
@@ -101,8 +100,6 @@
     RunSink &m_sink;
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall = 0;
-    /** Until then what looks like a worker's silence may be this host's own delay. */
-    Instant m_silenceCountsFrom;
 };
 
 } // namespace gentiancross
--- a/core/events.h
+++ b/core/events.h
@@ -20,10 +20,7 @@
 
 /** Time has passed; sent several times a second. */
 struct Ticked
-{
-    /** When it was posted, on this host's clock; zero if that is not told. */
-    Instant postedAt;
-};
+{};
 
 /** Everything that was durable when the process started, in the order it was written. */
 struct Recovered
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -51,10 +51,8 @@
 class CellPulse final : public PulseListener
 {
 public:
-    CellPulse(const Clock &clock, EventSink &events, platform::CellFront &front,
-              std::string bootPath)
-        : m_clock(clock)
-        , m_events(events)
+    CellPulse(EventSink &events, platform::CellFront &front, std::string bootPath)
+        : m_events(events)
         , m_front(front)
         , m_bootPath(std::move(bootPath))
         , m_changedAt(changeTime())
@@ -62,7 +60,7 @@
 
     void ticked() override
     {
-        m_events.post(Ticked{m_clock.now()});
+        m_events.post(Ticked{});
         if (++m_ticks % TicksPerLook == 0 && changeTime() != m_changedAt)
             readAgain();
     }
@@ -96,7 +94,6 @@
             logWarning("reload", describeError(boot.status()));
     }
 
-    const Clock &m_clock;
     EventSink &m_events;
     platform::CellFront &m_front;
     std::string m_bootPath;
@@ -148,7 +145,7 @@
     PeerListener peerListener(peers, settings.fleetSecret);
     platform::WorkerCaller workers(client, clock, control, boot.adviser);
     platform::CellFront front(boot, clock, control, metrics);
-    CellPulse listener(clock, control, front, settings.bootPath);
+    CellPulse listener(control, front, settings.bootPath);
     Pulse pulse(listener);
     EffectRouter router({front, peers, workers, boot.dataFolder.empty() ? nullptr : &journalServer,
                          [&pulse] { pulse.end(); }, &workers, &log});
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -376,25 +376,3 @@
     bench.beat("v", 2);
     CHECK(bench.takeStarts().size() == 1);
 }
-
-TEST_CASE("A leader that is held up ends no lease before it has heard what its workers answered")
-{
-    LeaderBench bench;
-    bench.configure();
-    bench.pass(8000);
-    bench.beat("v");
-    bench.submit(jobA, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
-    bench.pass(200);
-    bench.answer(bench.takeHold("v").value(), WorkerVerdict::NoAnswer);
-    bench.setLag(300);
-    bench.pass(6000);
-    bench.beat("w");
-    CHECK(bench.takeStarts().empty());
-    bench.setLag(0);
-    bench.pass(1000);
-    CHECK(bench.takeStarts().empty());
-    bench.pass(1000);
-    bench.beat("w");
-    CHECK(bench.takeStarts().size() == 1);
-}
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -134,7 +134,7 @@
     while (m_now < until) {
         m_now = m_now + Milliseconds(TickMilliseconds);
         m_wall += Milliseconds(TickMilliseconds);
-        m_leader.tick(m_now, m_wall, m_lag, m_out);
+        m_leader.tick(m_now, m_wall, m_out);
         settle();
     }
 }
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -30,8 +30,6 @@
     void answerHold(const std::string &worker, std::vector<RunListed> running,
                     std::vector<EndListed> ended = {});
     void pass(std::int64_t milliseconds);
-    /** From now on ticks wait so long behind other events. */
-    void setLag(std::int64_t milliseconds) { m_lag = Milliseconds(milliseconds); }
 
     /** Orders of a kind that were not taken from here before. */
     std::vector<CallWorker> takeStarts();
@@ -47,7 +45,6 @@
 
     Instant m_now{10'000};
     Milliseconds m_wall{1'000'000};
-    Milliseconds m_lag;
     Outbox m_out{false};
     CellLeader m_leader;
     std::uint64_t m_lastExchange = 0;
