--- a/benchmarks/cell_load.cpp
+++ b/benchmarks/cell_load.cpp
@@ -2,9 +2,10 @@
 
 #include "benchmarks/report.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 
 namespace gentiancross::benchmarks {
 
@@ -25,8 +26,8 @@
 constexpr int WorkersPerRack = 6;
 constexpr std::size_t PayloadBytes = 2400;
 
-const char ShortQueue[] = "/short/";
-const char LongQueue[] = "/long/";
+constexpr char ShortQueue[] = "/short/";
+constexpr char LongQueue[] = "/long/";
 
 QueueConfig queue(const std::string &name, std::int64_t priority, AdviceTerms advice)
 {
@@ -236,10 +237,8 @@
 {
     const double perSecond = isShort ? m_shape.shortJobs : m_shape.longJobs;
     at(Milliseconds(std::int64_t(drawn(MillisecondsPerSecond / perSecond))), [this, isShort] {
-        std::array<char, 17> name{};
-        std::snprintf(name.data(), name.size(), "%016llx",
-                      static_cast<unsigned long long>(++m_jobs * 0x9E3779B97F4A7C15ULL));
-        const JobId id(name.data());
+        constexpr std::uint64_t Scatter = 0x9E3779B97F4A7C15ULL;
+        const JobId id(absl::StrCat(absl::Hex(++m_jobs * Scatter, absl::kZeroPad16)));
         m_accepted.emplace(id, m_now);
         if (isShort)
             m_shortJobs.insert(id);
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -101,12 +101,13 @@
     PooledWorker *const worker = m_pool.find(old);
     if (worker == nullptr)
         return;
+    std::set<JobTaskRef> listed;
+    for (const RunListed &each : running)
+        listed.insert(each.task);
     std::map<JobTaskRef, RunNumber> moved;
     for (const auto &[task, run] : worker->runs) {
-        const bool isListed = std::any_of(running.begin(), running.end(),
-                                          [&](const RunListed &each) { return each.task == task; });
         const bool mayArrive = run.wasSent && (!run.isSettled || run.mayArriveLate);
-        if (old.worker == next.worker && (mayArrive || isListed))
+        if (old.worker == next.worker && (mayArrive || listed.contains(task)))
             moved.emplace(task, run.run);
     }
     for (const auto &[task, number] : moved) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -78,7 +78,7 @@
     }
     const Instant begin = m_clock.now();
     m_clients.start();
-    injectUntil(begin + Milliseconds(m_options.seconds * 1000));
+    injectUntil(begin + Milliseconds(std::int64_t(m_options.seconds) * 1000));
     undoDue(true);
     m_clients.stopSubmitting();
     m_ranMs = (m_clock.now() - begin).value();
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -3,7 +3,7 @@
 #include "drivers/codec.h"
 #include "tests/soak/emulated_worker.h"
 
-#include <cstdio>
+#include <absl/strings/str_cat.h>
 
 namespace gentiancross::tests {
 
@@ -12,6 +12,8 @@
 constexpr Milliseconds CallTimeout{3000};
 constexpr Milliseconds LookPause{700};
 constexpr std::chrono::milliseconds StepTime{5};
+/** Grows with each attempt. */
+constexpr Milliseconds RetryPause{200};
 constexpr int MostAttempts = 5;
 constexpr double MillisecondsPerSecond = 1000;
 
@@ -87,10 +89,7 @@
 
 void SoakClients::submitNew()
 {
-    std::array<char, 17> name{};
-    std::snprintf(name.data(), name.size(), "%016llx",
-                  static_cast<unsigned long long>(m_salt + ++m_jobs));
-    const std::string job = name.data();
+    const std::string job = absl::StrCat(absl::Hex(m_salt + ++m_jobs, absl::kZeroPad16));
     std::vector<SoakStep> steps;
     const std::int64_t count = m_random.between(1, 2);
     for (std::int64_t number = 0; number < count; ++number) {
@@ -158,7 +157,7 @@
         m_pending.erase(job);
         return;
     }
-    pending.nextLook = m_clock.now() + Milliseconds(200 * pending.attempts);
+    pending.nextLook = m_clock.now() + RetryPause * pending.attempts;
 }
 
 void SoakClients::look(const std::string &job, Pending &pending)
