Count orders, ends, lapses and changes of leaders in a cell

Overload, a silent worker, an end that was not noted and a hand-over between leaders all ended in the same "run ended: lease lapsed" or "lost" and another "start ordered".

RunMeter counts orders and what became of them, starts, repetitions, ends by ending and by who said so, and lapses apart by whether the worker's heartbeats came; HostMeter measures the gaps between ticks of the control thread. They leave the reducer as data, in one Measured effect a tick, so the control thread takes a lock 20 times a second for it. No decision reads them.

--- a/benchmarks/cell_load.cpp
+++ b/benchmarks/cell_load.cpp
@@ -102,6 +102,7 @@
                 for (int index = 0; index < m_shape.callers; ++index)
                     m_leader.adviserSeen(m_now, HostId("caller" + std::to_string(index)));
                 m_leader.tick(m_now, m_wall, m_out);
+                m_out.reportMeasurements(m_now);
             });
             continue;
         }
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -43,6 +43,7 @@
                         continue;
                     // An earlier leader sent it; with this one's fence it can't arrive any more.
                     worker->runs.at(task).wasSent = true;
+                    worker->runs.at(task).isInherited = true;
                     worker->runs.at(task).isSettled = true;
                 }
             }
@@ -66,6 +67,8 @@
 void CellLeader::endsRecorded(const WorkerLife &life, EndNumber number)
 {
     m_decisions.notedEnds[life] = number;
+    if (!m_decisions.endsSince.has_value())
+        m_decisions.endsSince = m_now;
 }
 
 void CellLeader::answer(const CallOrigin &origin, CallAnswer answer)
@@ -116,6 +119,8 @@
     if (PooledWorker *const pooled = m_pool.find(worker))
         pooled->runs.at(task).ticket = ticket;
     m_decisions.starts.push_back(task);
+    if (!m_decisions.startsSince.has_value())
+        m_decisions.startsSince = m_now;
 }
 
 void CellLeader::receive(Instant now, Milliseconds wall, const CallOrigin &origin,
@@ -282,6 +287,10 @@
 void CellLeader::carryOut(Instant now, const Decisions &decisions, Outbox &out)
 {
     m_now = now;
+    if (decisions.startsSince.has_value())
+        out.measure(SpanMeasured{Span::StartDurable, now - *decisions.startsSince});
+    if (decisions.endsSince.has_value())
+        out.measure(SpanMeasured{Span::EndDurable, now - *decisions.endsSince});
     for (const auto &[life, number] : decisions.notedEnds) {
         if (PooledWorker *const worker = m_pool.find(life))
             worker->noted = std::max(worker->noted, number);
@@ -297,11 +306,13 @@
         const auto run = worker->runs.find(task);
         if (run == worker->runs.end() || run->second.wasSent)
             continue;
+        const bool isFirst = run->second.run == RunNumber(1);
         if (!m_runs.isWanted(task)) {
             // Nothing has left this host, so there is nothing to stop.
             m_runs.endRun(progress->worker, task, RunEnding::NotStarted, out);
             continue;
         }
+        out.count(isFirst ? CellEvent::FirstStart : CellEvent::LaterStart);
         m_runs.orderStart(now, *worker, task, out);
         touched.insert(progress->worker);
     }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,6 +29,9 @@
     std::vector<OriginAnswer> answers;
     std::vector<JobTaskRef> starts;
     std::map<WorkerLife, EndNumber> notedEnds;
+    /** When the first of the starts was decided, and when the first of the ends was taken in. */
+    std::optional<Instant> startsSince;
+    std::optional<Instant> endsSince;
 
     [[nodiscard]] bool isEmpty() const
     {
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -87,6 +87,7 @@
 
 void CellRoot::handle(const Ticked &)
 {
+    m_meter.ticked(m_now, m_out);
     if (m_agreement.has_value()) {
         m_agreement->tick(m_now, m_out);
         adjustLeader();
@@ -102,6 +103,7 @@
         WorkerAnswer none;
         none.call = call;
         none.error = "the keeper that sent the order is silent";
+        m_out.count(CellEvent::OrderOverdue);
         m_leader->receive(m_now, none, m_out);
     }
     if (m_isShuttingDown && !m_hasExited)
@@ -193,6 +195,7 @@
 
 void CellRoot::handle(const WorkerAnswer &event)
 {
+    HostMeter::callEnded(event.cost, m_out);
     if (m_leader != nullptr)
         m_leader->receive(m_now, event, m_out);
     else
@@ -212,6 +215,8 @@
     for (const WorkerAnswer &answer : message.answers) {
         if (m_leader != nullptr && m_dispatcher.answered(m_now, answer))
             m_leader->receive(m_now, answer, m_out);
+        else
+            m_out.count(CellEvent::AnswerDiscarded);
     }
 }
 
@@ -414,6 +419,7 @@
         m_out.add(LogLine{true, "leader",
                           absl::StrCat("no longer leads: term=", m_agreement->term().value(),
                                        " undecided=", m_proposed.size())});
+        m_out.count(CellEvent::LeadershipLost);
         m_leader.reset();
         m_dispatcher.clear();
         m_proposed.clear();
@@ -431,6 +437,7 @@
                           m_options.beatAddress, m_options.jobRetention};
     m_leader = std::make_unique<CellLeader>(m_now, std::move(options),
                                             m_agreement->state().data().jobs);
+    m_out.count(CellEvent::LeadershipGained);
     m_out.add(LogLine{false, "leader",
                       absl::StrCat("decides from now on: term=", m_agreement->term().value(),
                                    " index=", m_agreement->appliedIndex().value(),
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -4,6 +4,7 @@
 #include "control/jobs/beat_collector.h"
 #include "control/jobs/call_relay.h"
 #include "control/jobs/cell_leader.h"
+#include "control/jobs/host_meter.h"
 #include "control/jobs/order_delegate.h"
 #include "control/jobs/order_dispatcher.h"
 #include "control/outbox.h"
@@ -126,6 +127,7 @@
     OrderDispatcher m_dispatcher;
     OrderDelegate m_delegate;
     BeatCollector m_beats;
+    HostMeter m_meter;
     std::deque<Proposed> m_proposed;
     /** Questions to the adviser that other hosts sent here, by the number they have here. */
     std::map<AskId, std::pair<HostId, AskId>> m_relayedAsks;
--- a/control/jobs/order_delegate.cpp
+++ b/control/jobs/order_delegate.cpp
@@ -19,6 +19,7 @@
         out.add(LogLine{true, from.value(),
                         absl::StrCat("orders dropped: calls=", orders.calls.size(),
                                      " they are of a former leader or for a former process")});
+        out.count(CellEvent::OrderDropped, static_cast<std::uint32_t>(orders.calls.size()));
         return;
     }
     if (orders.calls.front().fence > m_fence)
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -12,8 +12,6 @@
 constexpr Milliseconds HoldWait{900};
 /** What an order's answer may take: some round trips of a loaded link. */
 constexpr Milliseconds OrderTimeout{700};
-/** An order that waits longer on its way to the network is decided anew. */
-constexpr Milliseconds OrderValidity{400};
 constexpr Milliseconds RetryPause{150};
 /** A silent worker on which nothing runs is only asked whether it is to be used again. */
 constexpr Milliseconds IdleRetryPause{600};
@@ -79,6 +77,7 @@
     if (worker == nullptr || !worker->runs.contains(task))
         return;
     const OpenRun &run = worker->runs.at(task);
+    RunMeter::endConcluded(run, ending, out);
     out.note(task.step.job.value(),
              absl::StrCat("run ended: task=", nameOf(task), " run=", run.run.value(),
                           " worker=", life.worker.value(), " how=", nameOf(ending)));
@@ -137,6 +136,7 @@
 
 void RunDesk::receive(Instant now, const WorkerAnswer &answer, Outbox &out)
 {
+    m_meter.answered(now, answer, out);
     const auto found = m_calls.find(answer.call);
     if (found == m_calls.end())
         return;
@@ -311,6 +311,7 @@
         if (end.number <= worker.recorded)
             continue;
         worker.recorded = end.number;
+        RunMeter::endListed(now, worker, end, out);
         out.note(end.task.step.job.value(),
                  absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
                               " worker=", life.worker.value(), " how=", nameOf(end.ending)));
@@ -342,6 +343,7 @@
     if (step.isLasting)
         return;
     worker.hasUnnotableEnd = true;
+    out.count(CellEvent::EndAfterLaterRun);
     out.add(LogLine{true, end.task.step.job.value(),
                     absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
                                  " worker=", worker.report.life.worker.value(),
@@ -384,16 +386,20 @@
         const auto found = worker.runs.find(listed.task);
         if (found == worker.runs.end() || found->second.run != listed.run) {
             const bool isKnown = found != worker.runs.end() && found->second.run > listed.run;
-            if (found == worker.runs.end() || isKnown)
+            if (found == worker.runs.end() || isKnown) {
+                out.count(CellEvent::UnexpectedRun);
                 orderStop(now, worker, listed.task, listed.run, out);
+            }
             continue;
         }
         present.insert(listed.task);
         found->second.isSettled = true;
         found->second.checkpoint = listed.checkpoint;
     }
-    if (answer.ended.size() >= MostEndsListed)
+    if (answer.ended.size() >= MostEndsListed) {
+        out.count(CellEvent::EndListFull);
         return;
+    }
     std::vector<JobTaskRef> lost;
     for (const auto &[task, run] : worker.runs) {
         if (!present.contains(task) && call.settled.contains(task) && run.isSettled)
@@ -418,6 +424,7 @@
         const bool isSilent = now - worker.lastBeat > ForgottenAfter;
         if ((worker.runs.empty() && !isSilent) || !m_pool.isLapsed(worker, now))
             continue;
+        RunMeter::leaseLapsed(now, worker, out);
         endSent(life, worker, RunEnding::Lapsed, out);
         if (isSilent)
             gone.push_back(life);
@@ -485,6 +492,7 @@
     call.leaseUntil = effect.leaseUntil;
     m_calls.emplace(effect.call, std::move(call));
     worker.isHoldInFlight = true;
+    m_meter.ordered(now, effect, out);
     out.add(std::move(effect));
 }
 
@@ -526,6 +534,9 @@
     run.isCallInFlight = true;
     if (!run.startedAt.has_value())
         run.startedAt = now;
+    if (isRepetition)
+        out.count(CellEvent::StartRepeated);
+    m_meter.ordered(now, effect, out);
     out.add(std::move(effect));
 }
 
@@ -537,6 +548,7 @@
     out.note(task.step.job.value(),
              absl::StrCat("stop ordered: task=", nameOf(task), " run=", run.value(),
                           " worker=", worker.report.life.worker.value()));
+    m_meter.ordered(now, effect, out);
     out.add(std::move(effect));
 }
 
--- a/control/jobs/run_desk.h
+++ b/control/jobs/run_desk.h
@@ -2,6 +2,7 @@
 
 #include "control/jobs/advice_desk.h"
 #include "control/jobs/job_book.h"
+#include "control/jobs/run_meter.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
 
@@ -63,8 +64,6 @@
     [[nodiscard]] bool isWanted(const JobTaskRef &task) const;
 
 private:
-    enum class OrderKind { Start, Stop, Hold };
-
     struct Call
     {
         OrderKind kind = OrderKind::Hold;
@@ -112,6 +111,7 @@
     WorkerPool &m_pool;
     AdviceDesk &m_advice;
     RunSink &m_sink;
+    RunMeter m_meter;
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall;
 };
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -21,6 +21,8 @@
     bool isBestEffort = false;
     /** Its order is durable and was sent, by this leader or an earlier one. */
     bool wasSent = false;
+    /** An earlier leader ordered it. */
+    bool isInherited = false;
     /** The worker has answered an order about it, so a list without it is proof that it ended. */
     bool isSettled = false;
     /** A copy of the start may still be under way, to this life or the worker's next. */
--- a/control/outbox.cpp
+++ b/control/outbox.cpp
@@ -30,6 +30,12 @@
     m_recordsSinceReplace = 0;
 }
 
+void Outbox::reportMeasurements(Instant now)
+{
+    if (!m_measurements.empty())
+        add(Measured{now, takeMeasurements()});
+}
+
 SyncToken Outbox::currentToken() const
 {
     return m_records.empty() ? m_issued : m_issued.next();
--- a/control/outbox.h
+++ b/control/outbox.h
@@ -26,6 +26,13 @@
     {
         add(LogLine{false, subject, std::move(what)});
     }
+    /** Counts or measures; told with the next Measured effect. */
+    void measure(Measurement measurement) { m_measurements.push_back(measurement); }
+    void count(CellEvent event, std::uint32_t times = 1) { measure(EventCounted{event, times}); }
+    /** What was measured since the last call. */
+    Measurements takeMeasurements() { return std::exchange(m_measurements, {}); }
+    /** Adds a Measured effect if there is something to tell. */
+    void reportMeasurements(Instant now);
     void send(const HostId &to, PeerMessage message) { add(SendToPeer{to, std::move(message), 0}); }
 
     /** Sends \a message once all that was persisted so far, in this event too, is synced. */
@@ -56,6 +63,7 @@
 
     bool m_hasStore;
     Effects m_effects;
+    Measurements m_measurements;
     std::vector<JournalRecord> m_records;
     bool m_replaceAll = false;
     SyncToken m_issued;
--- a/core/effects.h
+++ b/core/effects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/events.h"
+#include "core/measurements.h"
 
 #include <cstdint>
 #include <map>
@@ -220,12 +221,19 @@
     CallAnswer answer;
 };
 
+/** What was counted and measured since the last such effect. */
+struct Measured
+{
+    Instant at;
+    Measurements measurements;
+};
+
 /** The process may end now. */
 struct Exit
 {};
 
 using Effect = std::variant<Reply, ForwardExchange, SendToPeer, StartTask, Persist, LogLine, Exit,
-                            AnswerCall, CallWorker, AdviceAsk>;
+                            AnswerCall, CallWorker, AdviceAsk, Measured>;
 using Effects = std::vector<Effect>;
 
 } // namespace gentiancross
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -344,6 +344,17 @@
 
 using WorkerOrder = std::variant<OrderStart, OrderStop, OrderHold>;
 
+/** The alternatives of WorkerOrder, in their order. */
+enum class OrderKind { Start, Stop, Hold };
+
+[[nodiscard]] inline OrderKind kindOf(const WorkerOrder &order)
+{
+    return static_cast<OrderKind>(order.index());
+}
+
+/** An order that waits longer on its way to the network is decided anew. */
+constexpr Milliseconds OrderValidity{400};
+
 /** Sends an order to a worker, unless `validUntil` has passed on the calling host's clock. */
 struct CallWorker
 {
@@ -419,6 +430,15 @@
     NoAnswer,
 };
 
+/** What a call took on the host that made it. */
+struct CallCost
+{
+    OrderKind kind = OrderKind::Hold;
+    /** From the order to the call's bytes leaving the host; empty if they never left. */
+    std::optional<Milliseconds> sentAfter;
+    std::uint32_t newConnections = 0;
+};
+
 /** The answer to any order. */
 struct WorkerAnswer
 {
@@ -431,6 +451,8 @@
     std::vector<RunListed> running;
     std::vector<EndListed> ended;
     std::string error;
+    /** Known to the host that made the call; not passed on. */
+    CallCost cost;
 
     template <typename Self>
     static auto fields(Self &self)
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -11,6 +11,7 @@
 #include "main/host_store.h"
 #include "platform/cell_front.h"
 #include "platform/worker_caller.h"
+#include "servers/cell_metrics.h"
 #include "servers/control_server.h"
 #include "servers/effect_router.h"
 #include "servers/journal_server.h"
@@ -144,15 +145,16 @@
     Metrics metrics;
     JournalServer journalServer(journal, control, metrics, &endAfterDiskFailure);
     LogServer log;
+    CellMetrics cellMetrics(log);
     HttpClient client(MostConnectionsPerWorker);
     PeerLink peers({hostAt(boot.ip, boot), {}, settings.fleetSecret, true}, control);
     PeerListener peerListener(peers, settings.fleetSecret);
     platform::WorkerCaller workers(client, clock, control, boot.adviser);
-    platform::CellFront front(boot, clock, control, metrics);
+    platform::CellFront front(boot, clock, control, metrics, cellMetrics);
     CellPulse listener(control, front, settings.bootPath);
     Pulse pulse(listener);
     EffectRouter router({front, peers, workers, boot.dataFolder.empty() ? nullptr : &journalServer,
-                         [&pulse] { pulse.end(); }, &workers, &log});
+                         [&pulse] { pulse.end(); }, &workers, &log, &cellMetrics});
     control.setEffectHandler(&router);
 
     for (const int signal : {SIGTERM, SIGINT, SIGHUP})
--- /dev/null
+++ b/servers/cell_metrics.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "servers/event_sink.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace gentiancross {
+
+/**
+ * Counters and times of a cell: orders to workers, runs, leases, changes of leaders. Told as text
+ * for the metrics address and, while something changes, as a log line every few seconds.
+ * Thread safety: any thread.
+ */
+class CellMetrics final : public EffectHandler
+{
+public:
+    /** \a log takes LogLine effects and must outlive this object. */
+    explicit CellMetrics(EffectHandler &log);
+
+    /** Takes Measured effects. */
+    void carryOut(Effect effect) override;
+    /** All metrics in the Prometheus text format; counters that are still 0 too. */
+    [[nodiscard]] std::string text() const;
+
+private:
+    /** Name and labels of a series. */
+    struct SeriesName
+    {
+        std::string name;
+        std::string labels;
+    };
+
+    struct Counter
+    {
+        SeriesName name;
+        std::uint64_t total = 0;
+        /** The total that the last log line told. */
+        std::uint64_t logged = 0;
+    };
+
+    struct Summary
+    {
+        explicit Summary(SeriesName seriesName);
+
+        using Times = boost::accumulators::accumulator_set<
+                double,
+                boost::accumulators::stats<boost::accumulators::tag::count,
+                                           boost::accumulators::tag::sum,
+                                           boost::accumulators::tag::max,
+                                           boost::accumulators::tag::extended_p_square>>;
+
+        SeriesName name;
+        Times times;
+        /** The longest since the last log line. */
+        Milliseconds longest;
+    };
+
+    /** The counters and summaries, each in the order of their enumerations. */
+    void addSeries();
+    void take(const OrderCounted &measurement);
+    void take(const OrderResultCounted &measurement);
+    void take(const RunEndCounted &measurement);
+    void take(const EventCounted &measurement);
+    void take(const SpanMeasured &measurement);
+    void take(const OrderSpanMeasured &measurement);
+    static void note(Summary &summary, Milliseconds length);
+    static void writeCounters(const std::vector<Counter> &counters, std::string &out);
+    static void writeSummaries(const std::vector<Summary> &summaries, std::string &out);
+    static void writeMaxima(const std::vector<Summary> &summaries, std::string &out);
+    /** What has changed since the last line; empty if no counter has. */
+    std::string takeChanges();
+
+    EffectHandler &m_log;
+    mutable std::mutex m_mutex;
+    std::vector<Counter> m_orders;
+    std::vector<Counter> m_orderResults;
+    std::vector<Counter> m_runEnds;
+    std::vector<Counter> m_events;
+    std::vector<Summary> m_spans;
+    std::vector<Summary> m_orderSpans;
+    Instant m_nextLine;
+};
+
+} // namespace gentiancross
--- a/servers/effect_router.cpp
+++ b/servers/effect_router.cpp
@@ -30,6 +30,8 @@
         return m_handlers.cellWorkers;
     if (std::holds_alternative<LogLine>(effect))
         return m_handlers.log;
+    if (std::holds_alternative<Measured>(effect))
+        return m_handlers.metrics;
     return nullptr;
 }
 
--- a/servers/effect_router.h
+++ b/servers/effect_router.h
@@ -22,6 +22,8 @@
         EffectHandler *cellWorkers = nullptr;
         /** Null to write lines at once. */
         EffectHandler *log = nullptr;
+        /** Null to drop measurements. */
+        EffectHandler *metrics = nullptr;
     };
 
     explicit EffectRouter(Handlers handlers)
--- a/tests/control/jobs/cell_group.cpp
+++ b/tests/control/jobs/cell_group.cpp
@@ -113,6 +113,9 @@
         m_answers[answer->exchange] = answer->answer;
     } else if (const auto *reply = std::get_if<Reply>(&effect)) {
         m_readiness[reply->exchange] = std::get<ReadinessAnswer>(reply->answer).ready;
+    } else if (const auto *measured = std::get_if<Measured>(&effect)) {
+        Measurements &all = m_measurements[host];
+        all.insert(all.end(), measured->measurements.begin(), measured->measurements.end());
     } else if (std::holds_alternative<Exit>(effect)) {
         m_exited.insert(host);
     }
--- a/tests/control/jobs/cell_group.h
+++ b/tests/control/jobs/cell_group.h
@@ -44,6 +44,11 @@
     [[nodiscard]] std::size_t appendsSentTo(const std::string &host) { return m_appendsSent[host]; }
     /** About how large the largest of these messages was. */
     [[nodiscard]] std::size_t largestSentTo(const std::string &host) { return m_largestSent[host]; }
+    /** What the host has counted and measured so far, over all its processes. */
+    [[nodiscard]] const Measurements &measurementsOf(const std::string &host)
+    {
+        return m_measurements[host];
+    }
     /** The keeper whose answers callers get now. */
     std::optional<std::string> leader();
 
@@ -83,6 +88,7 @@
     std::set<std::string> m_exited;
     std::map<std::string, std::size_t> m_entriesSent;
     std::map<std::string, std::size_t> m_largestSent;
+    std::map<std::string, Measurements> m_measurements;
 };
 
 } // namespace gentiancross::tests
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -38,6 +38,9 @@
     std::vector<AdviceAsk> takeAsks() { return std::exchange(m_asks, {}); }
     void tell(const AdviceTold &told);
 
+    /** What was counted and measured since the last call. */
+    Measurements takeMeasurements() { return m_out.takeMeasurements(); }
+
     CellLeader &leader() { return m_leader; }
 
 private:
--- /dev/null
+++ b/tests/control/jobs/run_meter_test.cpp
@@ -0,0 +1,282 @@
+#include "control/jobs/order_delegate.h"
+#include "tests/control/jobs/cell_group.h"
+#include "tests/control/jobs/leader_bench.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+const std::string jobA = "00000000000000aa";
+const std::string jobB = "00000000000000bb";
+
+/** What the counters show of work that ran twice. */
+struct Pattern
+{
+    bool ordersExpired = false;
+    bool ordersUnanswered = false;
+    bool heardWorkersLapsed = false;
+    bool silentWorkersLapsed = false;
+    bool endsNotNoted = false;
+    bool inheritedRunsConcluded = false;
+
+    bool operator==(const Pattern &) const = default;
+};
+
+template <typename Typed, typename Predicate>
+std::size_t countOf(const Measurements &measurements, Predicate matches)
+{
+    return static_cast<std::size_t>(std::count_if(
+            measurements.begin(), measurements.end(), [&](const Measurement &measurement) {
+                const auto *typed = std::get_if<Typed>(&measurement);
+                return typed != nullptr && matches(*typed);
+            }));
+}
+
+std::size_t count(const Measurements &measurements, OrderResult result)
+{
+    return countOf<OrderResultCounted>(
+            measurements, [&](const OrderResultCounted &each) { return each.result == result; });
+}
+
+std::size_t count(const Measurements &measurements, RunEnding ending, RunEndSource source)
+{
+    return countOf<RunEndCounted>(measurements, [&](const RunEndCounted &each) {
+        return each.ending == ending && each.source == source;
+    });
+}
+
+std::uint32_t count(const Measurements &measurements, CellEvent event)
+{
+    std::uint32_t sum = 0;
+    for (const Measurement &measurement : measurements) {
+        const auto *counted = std::get_if<EventCounted>(&measurement);
+        if (counted != nullptr && counted->event == event)
+            sum += counted->count;
+    }
+    return sum;
+}
+
+Pattern patternOf(const Measurements &measured)
+{
+    Pattern pattern;
+    pattern.ordersExpired = count(measured, OrderResult::Expired) > 0;
+    pattern.ordersUnanswered = count(measured, OrderResult::Unanswered) > 0;
+    pattern.heardWorkersLapsed = count(measured, CellEvent::LeaseOfHeardWorkerLapsed) > 0;
+    pattern.silentWorkersLapsed = count(measured, CellEvent::LeaseOfSilentWorkerLapsed) > 0;
+    pattern.endsNotNoted = count(measured, CellEvent::EndAfterLaterRun) > 0;
+    pattern.inheritedRunsConcluded
+            = count(measured, RunEnding::Lost, RunEndSource::ConcludedInherited) > 0
+            || count(measured, RunEnding::Lapsed, RunEndSource::ConcludedInherited) > 0;
+    return pattern;
+}
+
+EndListed ended(std::uint64_t number, const std::string &job, std::uint32_t index, RunEnding ending)
+{
+    return {EndNumber(number), makeTask(job, 0, index), RunNumber(1), ending, {}};
+}
+
+/** Has a task run on "v" under a leader that has no predecessor's leases to respect any more. */
+void runOnV(LeaderBench &bench)
+{
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(jobA, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.takeMeasurements();
+}
+
+/** Answers what "v" is asked with \a verdict until its task's next run is ordered. */
+void giveUpOnV(LeaderBench &bench, WorkerVerdict verdict, bool hasHeartbeats)
+{
+    for (int step = 0; step < 120; ++step) {
+        bench.pass(100);
+        bench.beat("w");
+        if (hasHeartbeats)
+            bench.beat("v");
+        if (const std::optional<CallWorker> hold = bench.takeHold("v"))
+            bench.answer(*hold, verdict);
+        for (const CallWorker &start : bench.takeStarts()) {
+            if (std::get<OrderStart>(start.order).run > RunNumber(1)) {
+                bench.answer(start, WorkerVerdict::Done);
+                return;
+            }
+        }
+    }
+    FAIL("no later run was ordered");
+}
+
+} // namespace
+
+TEST_CASE("Counters show a second run for want of processor time on the hosts that call workers")
+{
+    // Pattern: orders outlive their validity in queues, and leases lapse that nobody has renewed.
+    LeaderBench bench;
+    runOnV(bench);
+    giveUpOnV(bench, WorkerVerdict::NotSent, true);
+    const Measurements measured = bench.takeMeasurements();
+    CHECK(patternOf(measured) == Pattern{.ordersExpired = true, .heardWorkersLapsed = true});
+    CHECK(count(measured, RunEnding::Lapsed, RunEndSource::Concluded) == 1);
+    CHECK(count(measured, CellEvent::LeaseOfHeardWorkerLapsed) == 1);
+    CHECK(count(measured, CellEvent::LaterStart) == 1);
+}
+
+TEST_CASE("Counters show a second run for calls that time out while heartbeats come")
+{
+    // Pattern: calls take longer than they may, though the worker is sound.
+    LeaderBench bench;
+    runOnV(bench);
+    giveUpOnV(bench, WorkerVerdict::NoAnswer, true);
+    CHECK(patternOf(bench.takeMeasurements())
+          == Pattern{.ordersUnanswered = true, .heardWorkersLapsed = true});
+}
+
+TEST_CASE("Counters show a second run for a worker that is silent")
+{
+    LeaderBench bench;
+    runOnV(bench);
+    giveUpOnV(bench, WorkerVerdict::NoAnswer, false);
+    const Measurements measured = bench.takeMeasurements();
+    CHECK(patternOf(measured) == Pattern{.ordersUnanswered = true, .silentWorkersLapsed = true});
+    CHECK(count(measured, CellEvent::LeaseOfSilentWorkerLapsed) == 1);
+    CHECK(count(measured, CellEvent::LaterStart) == 1);
+}
+
+TEST_CASE("Counters show an end that reached the leader and was not noted, and what it holds back")
+{
+    LeaderBench bench;
+    runOnV(bench);
+    giveUpOnV(bench, WorkerVerdict::NoAnswer, false);
+    bench.takeMeasurements();
+    bench.pass(1000);
+    bench.answerHold("v", {}, {ended(1, jobA, 0, RunEnding::Done)});
+    Measurements measured = bench.takeMeasurements();
+    CHECK(patternOf(measured) == Pattern{.endsNotNoted = true});
+    CHECK(count(measured, CellEvent::EndHeldBack) == 0);
+    CHECK(count(measured, RunEnding::Done, RunEndSource::Listed) == 1);
+    // The worker's next end waits behind it.
+    bench.beat("v");
+    bench.submit(jobB, {makeStep(17, 100)});
+    for (const CallWorker &start : bench.takeStarts())
+        bench.answer(start, WorkerVerdict::Done);
+    bench.pass(1000);
+    bench.answerHold("v", {}, {ended(2, jobB, 0, RunEnding::Stopped)});
+    measured = bench.takeMeasurements();
+    CHECK(count(measured, CellEvent::EndAfterLaterRun) == 0);
+    CHECK(count(measured, CellEvent::EndHeldBack) == 1);
+}
+
+TEST_CASE("Counters show a list of ends that is full")
+{
+    constexpr std::uint64_t MostListed = 500;
+    LeaderBench bench;
+    runOnV(bench);
+    std::vector<EndListed> ends;
+    for (std::uint64_t number = 1; number <= MostListed; ++number)
+        ends.push_back(ended(number, jobB, 0, RunEnding::Stopped));
+    bench.answerHold("v", {}, ends);
+    CHECK(count(bench.takeMeasurements(), CellEvent::EndListFull) == 1);
+}
+
+TEST_CASE("Counters show a second run around a change of leaders")
+{
+    LeaderBench first;
+    runOnV(first);
+    LeaderBench second(first.leader().book());
+    second.beat("v");
+    second.answerHold("v", {});
+    REQUIRE(second.takeStarts().size() == 1);
+    const Measurements measured = second.takeMeasurements();
+    CHECK(patternOf(measured) == Pattern{.inheritedRunsConcluded = true});
+    CHECK(count(measured, CellEvent::LaterStart) == 1);
+}
+
+TEST_CASE("Counters show a run on a worker that its leader takes for over")
+{
+    LeaderBench bench;
+    runOnV(bench);
+    bench.answerHold("v",
+                     {{makeTask(jobA, 0, 0), RunNumber(1), {}, 100, 0},
+                      {makeTask(jobB, 0, 0), RunNumber(1), {}, 100, 0}});
+    const Measurements measured = bench.takeMeasurements();
+    CHECK(count(measured, CellEvent::UnexpectedRun) == 1);
+    CHECK(patternOf(measured) == Pattern{});
+}
+
+TEST_CASE("A sound day leaves none of the patterns of work that ran twice")
+{
+    LeaderBench bench;
+    runOnV(bench);
+    for (int number = 1; number <= 20; ++number) {
+        bench.pass(200);
+        bench.beat("v");
+        bench.answerHold("v", {{makeTask(jobA, 0, 0), RunNumber(1), {}, 100, 0}});
+    }
+    bench.answerHold("v", {}, {ended(1, jobA, 0, RunEnding::Done)});
+    const Measurements measured = bench.takeMeasurements();
+    CHECK(patternOf(measured) == Pattern{});
+    CHECK(count(measured, CellEvent::LaterStart) == 0);
+    CHECK(count(measured, CellEvent::UnexpectedRun) == 0);
+    CHECK(count(measured, RunEnding::Done, RunEndSource::Listed) == 1);
+    CHECK(countOf<SpanMeasured>(measured,
+                                [](const SpanMeasured &each) {
+                                    return each.span == Span::RunEnded
+                                            && each.length > Milliseconds(4000);
+                                })
+          == 1);
+}
+
+TEST_CASE("Orders and repetitions of starts are counted by kind")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("v");
+    bench.submit(jobA, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoAnswer);
+    bench.pass(200);
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const Measurements measured = bench.takeMeasurements();
+    const auto isStart = [](const auto &each) { return each.kind == OrderKind::Start; };
+    CHECK(countOf<OrderCounted>(measured, isStart) == 2);
+    CHECK(countOf<OrderResultCounted>(measured, isStart) == 2);
+    CHECK(countOf<OrderSpanMeasured>(measured, isStart) == 1);
+    CHECK(count(measured, CellEvent::FirstStart) == 1);
+    CHECK(count(measured, CellEvent::StartRepeated) == 1);
+}
+
+TEST_CASE("Orders of a former leader that a delegate drops are counted one by one")
+{
+    Outbox out(false);
+    OrderDelegate delegate{SessionId("now")};
+    delegate.receive(HostId("k1"), {SessionId("before"), {CallWorker{}, CallWorker{}}}, out);
+    CHECK(count(out.takeMeasurements(), CellEvent::OrderDropped) == 2);
+}
+
+TEST_CASE("Hosts count the leadership that they gain and lose, and tell how far apart ticks are")
+{
+    CellGroup group(3);
+    group.pass(4000);
+    const std::optional<std::string> leader = group.leader();
+    REQUIRE(leader.has_value());
+    CHECK(count(group.measurementsOf(*leader), CellEvent::LeadershipGained) == 1);
+    group.partition({{*leader}});
+    group.pass(3000);
+    group.heal();
+    group.pass(3000);
+    CHECK(count(group.measurementsOf(*leader), CellEvent::LeadershipLost) == 1);
+    std::uint32_t gained = 0;
+    for (const char *host : {"k1", "k2", "k3"})
+        gained += count(group.measurementsOf(host), CellEvent::LeadershipGained);
+    CHECK(gained == 2);
+    CHECK(countOf<SpanMeasured>(group.measurementsOf("e1"),
+                                [](const SpanMeasured &each) {
+                                    return each.span == Span::TickGap
+                                            && each.length == Milliseconds(50);
+                                })
+          > 100);
+}
