--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -357,6 +357,9 @@
     auto node = m_running.extract(easy);
     Transfer &transfer = *node.mapped();
     HttpResult result = resultOf(transfer, code);
+    long opened = 0;
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &opened);
+    result.newConnections = static_cast<std::uint32_t>(opened);
     curl_multi_remove_handle(m_multi, easy);
     if (m_idle.size() < MostIdleHandles)
         m_idle.push_back(easy);
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -36,6 +36,8 @@
     absl::Status error;
     /** True if the call was no longer valid when it was to be sent; its fate is `NotSent`. */
     bool hasExpired = false;
+    /** Connections that were opened for the call. */
+    std::uint32_t newConnections = 0;
 };
 
 /**
