Answer a call between hosts that is nested too deeply with an error

A single call with some thousand opening brackets to a host's peer port ended its process: the library's reader throws where nesting passes its limit, and nothing on the listener's thread caught that.

The test failed before: rpc_dispatcher_test.cpp:66: FAILED: due to unexpected exception with message: Exceeded stackLimit in readValue(). Whatever the library throws now is one log line and a parse error as answer.

--- a/drivers/rpc/rpc_dispatcher.cpp
+++ b/drivers/rpc/rpc_dispatcher.cpp
@@ -1,13 +1,19 @@
 #include "drivers/rpc/rpc_dispatcher.h"
 
+#include "drivers/log.h"
 #include "drivers/rpc/rpc_envelope.h"
 
 #include <jsonrpccpp/server.h>
 
+#include <exception>
+
 namespace gentiancross {
 
 namespace {
 
+constexpr char UnreadableCall[]
+        = R"({"jsonrpc":"2.0","error":{"code":-32700,"message":"parse error"},"id":null})";
+
 /** Hands texts to the library that came by another way. */
 class Connector final : public jsonrpc::AbstractServerConnector
 {
@@ -47,12 +53,23 @@
     {
         std::string parameter;
         if (!rpcenvelope::unwrap(m_method, request, parameter))
-            return m_connector.dispatch(request);
+            return dispatchOther(request);
         m_receiver(parameter);
         return std::string();
     }
 
 private:
+    std::string dispatchOther(const std::string &request)
+    {
+        try {
+            return m_connector.dispatch(request);
+        } catch (const std::exception &error) {
+            // The library's reader throws where nesting is deeper than its limit.
+            logWarning("rpc", std::string("a call could not be read: ") + error.what());
+            return UnreadableCall;
+        }
+    }
+
     class Server final : public jsonrpc::AbstractServer<Server>
     {
     public:
--- a/tests/drivers/rpc/rpc_dispatcher_test.cpp
+++ b/tests/drivers/rpc/rpc_dispatcher_test.cpp
@@ -57,3 +57,15 @@
     CHECK_FALSE(taken.dispatcher.dispatch(R"({"jsonrpc":"2.0","method":"deliver"})").empty());
     CHECK(taken.texts.empty());
 }
+
+// Guards against a deeply nested call that ended the process of the host that took it in.
+TEST_CASE("A call that is nested too deeply is answered with an error and ends nothing")
+{
+    Taken taken;
+    const std::string deep(100'000, '[');
+    CHECK_FALSE(taken.dispatcher.dispatch(deep).empty());
+    CHECK_FALSE(
+            taken.dispatcher.dispatch(R"({"jsonrpc":"2.0","method":"deliver","params": )" + deep)
+                    .empty());
+    CHECK(taken.texts.empty());
+}
