Refuse log entries that leave gaps or stand in place of committed ones

A host that got an append with an entry repeated, or with indexes that do not follow each other, counted them as held and read beyond its log; one with entries of another term for what is committed took back what it had applied. Both were believed as they came.

A leader of this protocol sends neither, so such a message is dropped whole, with a line, before its term is taken over.

--- a/control/agreement.cpp
+++ b/control/agreement.cpp
@@ -337,6 +337,11 @@
 {
     if (refuseOldTerm(from, message.term, out))
         return;
+    if (!isSound(message)) {
+        out.add(LogLine{true, from.value(),
+                        "entries refused: they leave gaps or stand in place of committed ones"});
+        return;
+    }
     follow(now, message.term, from, out);
     m_lastContact = now;
     if (message.confirmed <= now)
@@ -356,6 +361,19 @@
     out.sendAfterSync(from, makeReply(now, message.sentAt, true, matched));
 }
 
+bool Agreement::isSound(const AppendRequest &message) const
+{
+    LogIndex index = message.previousIndex;
+    for (const SharedEntry &entry : message.entries) {
+        index = index.next();
+        const std::optional<Term> held = m_log.termAt(index);
+        const bool isCommitted = held.has_value() && index <= m_commit;
+        if (entry->index != index || (isCommitted && held != entry->term))
+            return false;
+    }
+    return true;
+}
+
 bool Agreement::storeReceived(const std::vector<SharedEntry> &entries, Outbox &out)
 {
     bool changed = false;
--- a/control/agreement.h
+++ b/control/agreement.h
@@ -164,6 +164,8 @@
     void appendOwn(Instant now, LogEntry entry, Outbox &out);
     void storeEntry(SharedEntry entry, Outbox &out);
     void truncateFrom(LogIndex index, Outbox &out);
+    /** False if the entries do not follow each other or differ from what is committed. */
+    [[nodiscard]] bool isSound(const AppendRequest &message) const;
     bool storeReceived(const std::vector<SharedEntry> &entries, Outbox &out);
     void refreshMembership();
     void replicate(Instant now, const HostId &host, Outbox &out);
