Count no answer about entries or moments that are yet to come

An answer with an index beyond the log counted as holding all entries, so they were committed without a majority; one with a time to come as the echo of the leader's question confirmed the leader's right to act until that time.

The tests failed before: agreement_input_test.cpp:139: FAILED: CHECK( commitIndex() == before ) agreement_input_test.cpp:150: FAILED: CHECK( confirmedContact() <= now ) Followers acknowledge only what this leader sent in its term, and echo its own clock, so such an answer is dropped with a line.

--- a/control/agreement.cpp
+++ b/control/agreement.cpp
@@ -455,6 +455,10 @@
     }
     if (!isLeader() || message.term != term())
         return;
+    if (message.index > m_log.lastIndex() || message.sentAt > now) {
+        out.add(LogLine{true, from.value(), "answer refused: it is of entries or times to come"});
+        return;
+    }
     const FollowerProgress *progress = m_progress.answered(now, from, message);
     if (progress == nullptr)
         return;
--- a/tests/control/agreement_input_test.cpp
+++ b/tests/control/agreement_input_test.cpp
@@ -127,3 +127,26 @@
     CHECK(voter.lastReply.success);
     CHECK(voter.agreement.commitIndex() == LogIndex(4));
 }
+
+// Guards against an answer that counts as holding entries which were never sent.
+TEST_CASE("An answer that claims more than the log holds commits nothing")
+{
+    Voter voter;
+    voter.lead();
+    const LogIndex before = voter.agreement.commitIndex();
+    voter.receive(AppendReply{
+            replicaB, voter.agreement.term(), true, LogIndex(UINT64_MAX), LogIndex(), {}, {}});
+    CHECK(voter.agreement.commitIndex() == before);
+    CHECK(voter.warnings > 0);
+}
+
+// Guards against a leader's permission that a malformed time makes last for ever.
+TEST_CASE("An answer to a question of the future confirms no contact")
+{
+    Voter voter;
+    voter.lead();
+    voter.receive(AppendReply{replicaB, voter.agreement.term(), true, LogIndex(1), LogIndex(),
+                              voter.now + Milliseconds(1'000'000'000), voter.now});
+    CHECK(voter.agreement.confirmedContact() <= voter.now);
+    CHECK(voter.warnings > 0);
+}
