--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -288,3 +288,15 @@
           R"({"clock_ms":1,"running":[],"ended":[[1,"j.0.0.0",1,"vanished",""]]})"})
         CHECK(verdictOf(body) == WorkerVerdict::NoAnswer);
 }
+
+// Guards against a caller that waits for ever and is answered at once.
+TEST_CASE("A deadline beyond all time does not pass at once")
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/p/1";
+    request.headers["deadline-ms"] = "9223372036854775807";
+    const DecodedCall decoded = decodeCallerCall(request);
+    CHECK(decoded.patience > Milliseconds(0));
+    CHECK(decoded.patience <= Milliseconds(3'600'000));
+}
