Refuse times, clocks and ports that no machine has

Guesses of up to 2^53 ms, stretches of 1e15, clocks of 2^63 and tickets valid for 1e300 ms were taken as they came; sums and products of them pass what a number holds, which C++ leaves undefined. A first port above 65535 was cut to 16 bits.

--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -16,6 +16,8 @@
 /** So many workers are in the call for advice that a step's chain of work counts (same place). */
 constexpr std::int64_t AdvisedWorkers = 30;
 constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
+/** Ten years in milliseconds; a longer chain of guesses says no more. */
+constexpr Milliseconds LongestChain{315'360'000'000};
 
 /** What one call for advice takes. */
 Milliseconds adviceTime(const JobTerms &terms)
@@ -33,7 +35,7 @@
     Milliseconds chain(0);
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
         chain = std::max(chain, longestChain(job.spec, step));
-    chain += adviceTime(job.terms);
+    chain = std::min(chain + adviceTime(job.terms), LongestChain);
     return chain * job.terms.stretchPermille / Permille + job.terms.allowance;
 }
 
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -300,3 +300,20 @@
     CHECK(decoded.patience > Milliseconds(0));
     CHECK(decoded.patience <= Milliseconds(3'600'000));
 }
+
+// Guards against numbers whose sums and products pass what a number holds.
+TEST_CASE("Times and clocks that no machine has are refused")
+{
+    std::string defect;
+    CHECK_FALSE(
+            decodeJob(R"({"steps":[{"count":1,"est_ms":9007199254740992}]})", defect).has_value());
+    CHECK_FALSE(isReadDocument(replaced(documentText, "\"stretch\":2.2", "\"stretch\":1e15")));
+    CHECK_FALSE(isReadDocument(
+            replaced(documentText, "\"decide_ms\":370.0", "\"decide_ms\":9007199254740992")));
+    const WorkerAnswer answer = decodeAnswer(CallId(1), AnswerShape::Receipt, 200,
+                                             R"({"clock_ms":9223372036854775807})");
+    CHECK_FALSE(answer.clock.has_value());
+    const AdviceTold told = decodeAdvice(AskId(1), 200, R"({"good":[["w","t"]],"valid_ms":1e300})");
+    CHECK(told.validity <= Milliseconds(3'600'000));
+    CHECK_FALSE(decodeBootFile(replaced(bootText, "[7420,7435]", "[72956,7435]")).ok());
+}
