Refuse numbers that do not fit their field in messages between hosts

An index of 2^32 was cut to 0, so a message about a task that can't exist was taken for one about the first task.

The test failed before: codec_test.cpp:114: FAILED: CHECK_FALSE( codec::decode(json, task) ) !true

--- a/drivers/codec.h
+++ b/drivers/codec.h
@@ -191,11 +191,11 @@
             return false;
         value = static_cast<T>(json.asInt());
     } else if constexpr (std::is_unsigned_v<T>) {
-        if (!json.isUInt64())
+        if (!json.isUInt64() || !std::in_range<T>(json.asUInt64()))
             return false;
         value = static_cast<T>(json.asUInt64());
     } else {
-        if (!json.isInt64())
+        if (!json.isInt64() || !std::in_range<T>(json.asInt64()))
             return false;
         value = static_cast<T>(json.asInt64());
     }
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -104,3 +104,15 @@
     Json::Value json;
     CHECK_FALSE(codec::fromText(text, json));
 }
+
+// Guards against an index of 2^32 that was taken for 0.
+TEST_CASE("A number that does not fit its field is refused, not cut")
+{
+    Json::Value json;
+    REQUIRE(codec::fromText("[[\"j\",0,4294967296],4294967297]", json));
+    JobTaskRef task;
+    CHECK_FALSE(codec::decode(json, task));
+    REQUIRE(codec::fromText("[[\"j\",0,4294967295],1]", json));
+    CHECK(codec::decode(json, task));
+    CHECK(task.step.step == 4294967295U);
+}
