Let no end of a run that was never ordered complete its task

An end in a worker's list whose run number had never been given out (a number that jumps) marked the task as done, and its job was told as completed while the run was still at work.

--- a/control/jobs/job_book.cpp
+++ b/control/jobs/job_book.cpp
@@ -73,7 +73,7 @@
     {
         Job *const job = findJob(record.task);
         TaskProgress *const task = findTask(record.task);
-        if (task == nullptr)
+        if (task == nullptr || record.run > task->lastRun)
             return;
         const StepSpec &step = job->spec.steps[record.task.step.step];
         if (record.ending == RunEnding::Done && !step.isLasting) {
--- /dev/null
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -0,0 +1,34 @@
+#include "tests/control/jobs/leader_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+const std::string jobA = "00000000000000aa";
+
+JobState stateOf(const CallAnswer &answer)
+{
+    return std::get<JobShown>(answer).state;
+}
+
+} // namespace
+
+// Guards against a listed end of a run that was never ordered, which ended its task undone.
+TEST_CASE("An end of a run that was never ordered completes nothing")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    const RunListed running{makeTask(jobA, 0, 0), RunNumber(1), {}, 100, 0};
+    const EndListed jump{
+            EndNumber(1), makeTask(jobA, 0, 0), RunNumber(1ULL << 60), RunEnding::Done, {}};
+    bench.answerHold("w", {running}, {jump});
+    CHECK(stateOf(bench.look(jobA)) == JobState::Running);
+}
