Ignore records of jobs with more tasks than any caller may hand in

The bound on a job's tasks was checked where callers hand jobs in, not where records from other hosts are applied: one with 4,000,000,000 tasks, or whose steps wait for steps that do not exist, ended every keeper that applied it, and again at each start.

--- a/control/data_centre_copy.cpp
+++ b/control/data_centre_copy.cpp
@@ -107,6 +107,8 @@
 
 void DataCentreCopy::applyTyped(const RequestAccepted &record)
 {
+    if (record.spec.taskCount > MostTasksOfRequest)
+        return;
     RequestFacts facts;
     facts.team = record.team;
     facts.spec = record.spec;
--- a/control/jobs/call_desk.cpp
+++ b/control/jobs/call_desk.cpp
@@ -1,6 +1,7 @@
 #include "control/jobs/call_desk.h"
 
 #include "control/jobs/config_rules.h"
+#include "control/jobs/job_book.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -9,8 +10,6 @@
 namespace {
 
 constexpr std::size_t JobIdLength = 16;
-/** No job of a caller holds more tasks; it bounds what one call can make the leader do. */
-constexpr std::uint64_t MostTasks = 20'000;
 
 /** Why the job can't be run as it is described; nothing if it can. */
 std::optional<std::string> defectOf(const JobSpec &spec)
@@ -29,8 +28,8 @@
                                     ", which is not before it");
         }
     }
-    if (tasks > MostTasks)
-        return absl::StrCat("the job has more than ", MostTasks, " tasks");
+    if (tasks > MostTasksOfJob)
+        return absl::StrCat("the job has more than ", MostTasksOfJob, " tasks");
     return std::nullopt;
 }
 
--- a/control/jobs/job_book.cpp
+++ b/control/jobs/job_book.cpp
@@ -23,6 +23,8 @@
 
     void operator()(const JobAccepted &record)
     {
+        if (!jobbook::isRunnable(record.spec))
+            return;
         const auto [found, isNew] = m_data.jobs.try_emplace(record.id);
         if (!isNew)
             return;
@@ -235,6 +237,19 @@
 
 namespace jobbook {
 
+bool isRunnable(const JobSpec &spec)
+{
+    std::uint64_t tasks = 0;
+    for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
+        const StepSpec &step = spec.steps[number];
+        tasks += step.count;
+        if (std::any_of(step.after.begin(), step.after.end(),
+                        [number](std::uint32_t earlier) { return earlier >= number; }))
+            return false;
+    }
+    return tasks <= MostTasksOfJob;
+}
+
 void apply(JobBookData &data, const JobRecord &record, JobBookObserver *observer)
 {
     std::visit(Applier(data, observer), record);
--- a/control/jobs/job_book.h
+++ b/control/jobs/job_book.h
@@ -25,12 +25,18 @@
     virtual void jobChanged(const JobId &id, const Job &job) = 0;
 };
 
+/** No job of a caller holds more tasks; it bounds what one job can make the keepers do. */
+inline constexpr std::uint64_t MostTasksOfJob = 20'000;
+
 /** Changes a job book by records. Deterministic: the same records give the same book. */
 namespace jobbook {
 
 /** Applies \a record to \a data; \a observer may be null. Reentrant. */
 void apply(JobBookData &data, const JobRecord &record, JobBookObserver *observer);
 
+/** True if the steps wait for earlier ones only and do not hold too many tasks. Reentrant. */
+bool isRunnable(const JobSpec &spec);
+
 /** True if all tasks of the steps that \a step waits for are done. Reentrant. */
 bool isStepReady(const Job &job, const Occurrence &occurrence, std::uint32_t step);
 
--- a/core/work.h
+++ b/core/work.h
@@ -19,6 +19,9 @@
 /** What became of a request, as far as the system knows it for a fact. */
 enum class Outcome { Pending, Done, NotRun, Unknown, Failed, Cancelled };
 
+/** No request has more tasks. */
+inline constexpr std::uint32_t MostTasksOfRequest = 10'000;
+
 /** What a caller asks for. */
 struct WorkSpec
 {
--- a/servers/request_decoder.cpp
+++ b/servers/request_decoder.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr std::size_t LongestName = 128;
-constexpr std::uint32_t MostTasks = 10'000;
 constexpr Milliseconds LongestDeadline{600'000};
 constexpr char BearerPrefix[] = "Bearer ";
 
@@ -45,7 +44,7 @@
 
 absl::Status checkSpec(const WorkSpec &spec)
 {
-    if (spec.taskCount < 1 || spec.taskCount > MostTasks)
+    if (spec.taskCount < 1 || spec.taskCount > MostTasksOfRequest)
         return badRequest("tasks must be from 1 to 10000");
     if (spec.kind == WorkKind::Short && spec.taskCount != 1)
         return badRequest("a short request is one task");
@@ -276,9 +275,11 @@
         return found == request.query.end() ? std::string(otherwise) : found->second;
     };
     std::int64_t offset = 0;
-    const bool isNumber = absl::SimpleAtoi(option("utc_offset_minutes", "0"), &offset);
-    const std::optional<DayAsked> day = pagewords::dayOf(option("day", ""), offset);
-    if (!isNumber || std::abs(offset) > LargestUtcOffsetMinutes || !day.has_value())
+    const bool isOffset = absl::SimpleAtoi(option("utc_offset_minutes", "0"), &offset)
+            && offset >= -LargestUtcOffsetMinutes && offset <= LargestUtcOffsetMinutes;
+    const std::optional<DayAsked> day
+            = isOffset ? pagewords::dayOf(option("day", ""), offset) : std::nullopt;
+    if (!day.has_value())
         return badRequest("day must be YYYY-MM-DD, and utc_offset_minutes a multiple of 30");
     const std::string wanted = option("format", "html");
     const auto format = std::find(Formats.begin(), Formats.end(), wanted);
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -32,3 +32,15 @@
     bench.answerHold("w", {running}, {jump});
     CHECK(stateOf(bench.look(jobA)) == JobState::Running);
 }
+
+// Guards against a record with more tasks than memory holds, which would end every keeper.
+TEST_CASE("A job of more tasks than any caller may hand in changes nothing")
+{
+    JobBookData book;
+    jobbook::apply(book, makeJob(jobA, {makeStep(4'000'000'000, 100)}), nullptr);
+    CHECK(book.jobs.empty());
+    jobbook::apply(book, makeJob(jobA, {makeStep(1, 100), makeStep(1, 100, {7})}), nullptr);
+    CHECK(book.jobs.empty());
+    jobbook::apply(book, makeJob(jobA, {makeStep(1, 100), makeStep(1, 100, {0})}), nullptr);
+    CHECK(book.jobs.size() == 1);
+}
--- a/tests/control/mirror_keeper_test.cpp
+++ b/tests/control/mirror_keeper_test.cpp
@@ -202,3 +202,13 @@
     REQUIRE(idle.size() == 1);
     CHECK(std::holds_alternative<MirrorReply>(idle.front()));
 }
+
+// Guards against a record with more tasks than memory holds, which would end every mirror.
+TEST_CASE("A request of more tasks than any may have is not kept")
+{
+    DataCentreCopy copy;
+    RequestAccepted record{RequestId("hobart:t:x"), TeamId("t"), {}, {}};
+    record.spec.taskCount = 4'000'000'000;
+    copy.apply(record);
+    CHECK(copy.find(record.request) == nullptr);
+}
--- a/tests/servers/request_decoder_test.cpp
+++ b/tests/servers/request_decoder_test.cpp
@@ -110,3 +110,13 @@
     const auto *const path = GENERATE("/", "/v2/requests", "/v1/nothing", "/v1/teams/a/b");
     CHECK(absl::IsNotFound(decodeRequest(request("GET", path, ""), fromCallers).status()));
 }
+
+// Guards against an offset whose absolute value is no number.
+TEST_CASE("The smallest number is no time zone")
+{
+    HttpRequest page = request("GET", "/v1/report", "");
+    page.query = {{"day", "2026-12-04"}, {"utc_offset_minutes", "-9223372036854775808"}};
+    CHECK_FALSE(decodeRequest(page, fromCallers).ok());
+    page.query["utc_offset_minutes"] = "600";
+    CHECK(decodeRequest(page, fromCallers).ok());
+}
