Begin no more occurrences of a job than may be under way

A job with many repeats and no period began an occurrence with each tick, in the log of every keeper, without any bound.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -247,6 +247,15 @@
     m_planner.noteChange();
 }
 
+bool CellLeader::mayBegin(const Job &job)
+{
+    std::uint64_t tasks = 0;
+    for (const StepSpec &step : job.spec.steps)
+        tasks += step.count;
+    const std::uint64_t underWay = job.occurrencesBegun - job.occurrencesDone;
+    return (underWay + 1) * tasks <= MostTasksOfJob;
+}
+
 void CellLeader::beginDue(Milliseconds wall)
 {
     const std::set<JobId> timed = m_timed;
@@ -254,7 +263,7 @@
         const Job &job = m_book.jobs.at(id);
         const Milliseconds due
                 = job.spec.firstDue + job.spec.period * std::int64_t(job.occurrencesBegun);
-        if (wall >= due)
+        if (wall >= due && mayBegin(job))
             apply(OccurrenceBegun{id});
     }
 }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -110,6 +110,8 @@
     void take(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
               Outbox &out);
 
+    /** An occurrence waits while those under way hold as many tasks as a job may have. */
+    [[nodiscard]] static bool mayBegin(const Job &job);
     void beginDue(Milliseconds wall);
     void forgetEnded();
     /** When an earlier leader accepted the job, as far as this host's clock can tell. */
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -14,6 +14,11 @@
     return std::get<JobShown>(answer).state;
 }
 
+std::size_t occurrencesOf(LeaderBench &bench, const std::string &job)
+{
+    return bench.leader().book().jobs.at(JobId(job)).occurrences.size();
+}
+
 } // namespace
 
 // Guards against a listed end of a run that was never ordered, which ended its task undone.
@@ -33,6 +38,22 @@
     CHECK(stateOf(bench.look(jobA)) == JobState::Running);
 }
 
+// Guards against a job whose occurrences fall due faster than they end and fill all memory.
+TEST_CASE("A job that falls due without a pause begins no more than can be under way")
+{
+    constexpr std::uint32_t Tasks = 5000;
+    constexpr std::size_t MostUnderWay = 20'000 / Tasks;
+    LeaderBench bench;
+    bench.configure();
+    JobSpec spec;
+    spec.steps = {makeStep(Tasks, 100)};
+    spec.repeats = 4'000'000'000;
+    bench.call(JobCall{JobVerb::Submit, "h", "/q/" + jobA, ApiKey("key-of-alpha"), spec, {}});
+    bench.pass(3000);
+    CHECK(occurrencesOf(bench, jobA) > 0);
+    CHECK(occurrencesOf(bench, jobA) <= MostUnderWay);
+}
+
 // Guards against a record with more tasks than memory holds, which would end every keeper.
 TEST_CASE("A job of more tasks than any caller may hand in changes nothing")
 {
