Take no heartbeat for newer than its arrival

A negative age in a batch of heartbeats put the worker's last one into the future: the worker never counted as silent again.

The test failed before: cell_leader_input_test.cpp: CHECK( workers.empty() ) false

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -215,7 +215,7 @@
         if (beat.sequence <= worker->lastSequence)
             continue;
         worker->lastSequence = beat.sequence;
-        worker->lastBeat = std::max(worker->lastBeat, now - beat.age);
+        worker->lastBeat = std::max(worker->lastBeat, now - std::max(beat.age, Milliseconds(0)));
         if (!worker->clock.has_value())
             WorkerPool::tellClock(*worker, now, beat.clock);
     }
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -54,6 +54,18 @@
     CHECK(occurrencesOf(bench, jobA) <= MostUnderWay);
 }
 
+// Guards against a malformed age that makes a worker count as heard for ever.
+TEST_CASE("A heartbeat from the future does not keep a silent worker in use")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    const BeatSeen future{makeLife("w"), 1000, 10'000, Milliseconds(-1'000'000'000)};
+    bench.leader().receive(Instant(10'000), BeatsSeen{{future}});
+    bench.pass(20'000);
+    CHECK(bench.leader().book().workers.empty());
+}
+
 // Guards against a record with more tasks than memory holds, which would end every keeper.
 TEST_CASE("A job of more tasks than any caller may hand in changes nothing")
 {
