Keep a worker that has left out of use when an earlier heartbeat comes late

A heartbeat that was under way when its worker left, through a host that stood still or a delayed connection, brought the worker back: starts were ordered there until its silence was noticed, also by the next leader and after a restart.

The tests failed before: cell_leader_input_test.cpp:80: CHECK( takeStarts().empty() ) false cell_leader_input_test.cpp:97: CHECK( second.takeStarts().empty() ) false The lives that said that they end are in the log, the newest thousand; a new life of the same name is another one.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -175,6 +175,11 @@
     }
     PooledWorker *worker = m_pool.find(life);
     const bool isNew = worker == nullptr;
+    if (isNew && hasLeft(life)) {
+        out.note(life.worker.value(), "late heartbeat of a worker that has left");
+        answer(origin, taken);
+        return;
+    }
     if (!isNew && call.sequence <= worker->lastSequence && worker->lastSequence != 0) {
         answer(origin, taken);
         return;
@@ -203,6 +208,12 @@
     answer(origin, taken);
 }
 
+bool CellLeader::hasLeft(const WorkerLife &life) const
+{
+    const std::vector<WorkerLife> &left = m_book.leftWorkers;
+    return std::find(left.begin(), left.end(), life) != left.end();
+}
+
 BeatsUnknown CellLeader::receive(Instant now, const BeatsSeen &seen)
 {
     BeatsUnknown unknown;
@@ -231,8 +242,10 @@
         if (life.worker == call.worker && worker.report.isDraining)
             ended.push_back(life);
     }
-    for (const WorkerLife &life : ended)
+    for (const WorkerLife &life : ended) {
         m_runs.endLife(life, "it left", out);
+        apply(WorkerLeft{life});
+    }
     answer(origin, CallDone{});
 }
 
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -110,6 +110,8 @@
     void take(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
               Outbox &out);
 
+    /** True if the life has said that it ends. */
+    [[nodiscard]] bool hasLeft(const WorkerLife &life) const;
     /** An occurrence waits while those under way hold as many tasks as a job may have. */
     [[nodiscard]] static bool mayBegin(const Job &job);
     void beginDue(Milliseconds wall);
--- a/control/jobs/job_book.cpp
+++ b/control/jobs/job_book.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/** Heartbeats that were under way when a worker left come within seconds; some hours of workers
+ * that leave on an ordinary day. */
+constexpr std::size_t LeftWorkersKept = 1000;
+
 /** Applies one record; a record that does not fit the book any more changes nothing. */
 class Applier
 {
@@ -101,6 +105,14 @@
 
     void operator()(const WorkerGone &record) { m_data.workers.erase(record.life); }
 
+    void operator()(const WorkerLeft &record)
+    {
+        m_data.workers.erase(record.life);
+        m_data.leftWorkers.push_back(record.life);
+        if (m_data.leftWorkers.size() > LeftWorkersKept)
+            m_data.leftWorkers.erase(m_data.leftWorkers.begin());
+    }
+
     void operator()(const RunMoved &record)
     {
         Job *const job = findJob(record.task);
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -93,11 +93,13 @@
     std::optional<ConfigDocument> document;
     std::map<JobId, Job> jobs;
     std::map<WorkerLife, WorkerReport> workers;
+    /** The newest lives that have left, in the order in which they did. */
+    std::vector<WorkerLife> leftWorkers;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.document, self.jobs, self.workers);
+        return std::tie(self.document, self.jobs, self.workers, self.leftWorkers);
     }
 };
 
@@ -229,10 +231,22 @@
     }
 };
 
+/** The worker said that it ends; what it sent before may come yet and must not bring it back. */
+struct WorkerLeft
+{
+    WorkerLife life;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.life);
+    }
+};
+
 /** New alternatives go to the end: their places are what journals hold. */
 using JobRecord
         = std::variant<DocumentAccepted, JobAccepted, JobCancelled, OccurrenceBegun, RunOrdered,
-                       RunEnded, WorkerSeen, WorkerGone, RunMoved, JobsForgotten>;
+                       RunEnded, WorkerSeen, WorkerGone, RunMoved, JobsForgotten, WorkerLeft>;
 
 /** Changes of the job book that are agreed on together, in this order. */
 struct JobChanges
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -14,6 +14,19 @@
     return std::get<JobShown>(answer).state;
 }
 
+/** A beat of worker "w" that came late or is malformed. */
+WorkerBeat makeBeat(std::uint64_t sequence)
+{
+    WorkerBeat beat;
+    beat.report.life = makeLife("w");
+    beat.report.pool = PoolId("pool");
+    beat.report.address = "w:1";
+    beat.report.capacity = {MilliCores(1000), Mebibytes(10'000), Accelerators(0), Slots(0)};
+    beat.clock = 10'000;
+    beat.sequence = sequence;
+    return beat;
+}
+
 std::size_t occurrencesOf(LeaderBench &bench, const std::string &job)
 {
     return bench.leader().book().jobs.at(JobId(job)).occurrences.size();
@@ -54,6 +67,36 @@
     CHECK(occurrencesOf(bench, jobA) <= MostUnderWay);
 }
 
+// Guards against a worker that has left and is used again for a heartbeat that was under way.
+TEST_CASE("A worker that has left is not used again when an earlier heartbeat comes late")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    bench.beat("w", 1, true);
+    bench.call(WorkerLeave{WorkerId("w")});
+    bench.call(makeBeat(1));
+    bench.submit(jobA, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    // The next life of the same name is another worker.
+    bench.beat("w", 2);
+    CHECK(bench.takeStarts().size() == 1);
+}
+
+// Guards against a successor that uses a worker which had left under its predecessor.
+TEST_CASE("A worker that has left is not used by the next leader either")
+{
+    LeaderBench first;
+    first.configure();
+    first.beat("w");
+    first.beat("w", 1, true);
+    first.call(WorkerLeave{WorkerId("w")});
+    LeaderBench second(first.leader().book());
+    second.call(makeBeat(1));
+    second.submit(jobA, {makeStep(1, 100)});
+    CHECK(second.takeStarts().empty());
+}
+
 // Guards against a malformed age that makes a worker count as heard for ever.
 TEST_CASE("A heartbeat from the future does not keep a silent worker in use")
 {
