Send no orders while the leader's right to act is not confirmed

A leader that stood still for some seconds, or was cut off, ordered stops and starts from the first heartbeats and workers' answers that it found waiting, before it noticed that another leads: only its ticks and its log were bound to a confirmed contact, not the orders that such events bring about. A worker that had not heard of the new leader yet would have obeyed.

--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -80,11 +80,34 @@
 Effects CellRoot::takeEffects()
 {
     Effects effects = m_out.take();
-    if (m_leader != nullptr)
-        m_dispatcher.dispatch(m_now, effects);
+    if (m_leader == nullptr)
+        return effects;
+    if (!isConfirmed())
+        returnOrders(effects);
+    m_dispatcher.dispatch(m_now, effects);
     return effects;
 }
 
+void CellRoot::returnOrders(Effects &effects)
+{
+    Effects rest;
+    for (Effect &effect : effects) {
+        const auto *const call = std::get_if<CallWorker>(&effect);
+        if (call == nullptr) {
+            rest.push_back(std::move(effect));
+            continue;
+        }
+        WorkerAnswer unsent;
+        unsent.call = call->call;
+        unsent.verdict = WorkerVerdict::NotSent;
+        unsent.error = "this host may not lead any more";
+        m_leader->receive(m_now, unsent, m_out);
+    }
+    for (Effect &effect : m_out.take())
+        rest.push_back(std::move(effect));
+    effects = std::move(rest);
+}
+
 void CellRoot::handle(const Ticked &)
 {
     if (m_agreement.has_value()) {
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -101,6 +101,8 @@
     void tickFollower();
     void preferVoters();
     [[nodiscard]] std::vector<HostSeen> adviserCallers() const;
+    /** Tells the leader that its orders were not sent: its time to act is over. */
+    void returnOrders(Effects &effects);
     Effects takeEffects();
 
     struct Asker
--- a/tests/control/jobs/cell_group.cpp
+++ b/tests/control/jobs/cell_group.cpp
@@ -67,6 +67,7 @@
 
 void CellGroup::crash(const std::string &host)
 {
+    m_waiting.erase(host);
     m_hosts.erase(host);
 }
 
@@ -89,11 +90,23 @@
     const auto found = m_hosts.find(host);
     if (found == m_hosts.end())
         return;
+    const auto waiting = m_waiting.find(host);
+    if (waiting != m_waiting.end()) {
+        waiting->second.push_back(std::move(payload));
+        return;
+    }
     const Event event{m_now, Milliseconds(m_now.value()), std::move(payload)};
     for (Effect &effect : found->second->reduce(event))
         carryOut(host, std::move(effect));
 }
 
+void CellGroup::goOn(const std::string &host)
+{
+    auto waiting = m_waiting.extract(host);
+    for (EventPayload &payload : waiting.mapped())
+        give(host, std::move(payload));
+}
+
 void CellGroup::carryOut(const std::string &host, Effect effect)
 {
     if (auto *message = std::get_if<SendToPeer>(&effect)) {
@@ -113,6 +126,8 @@
         m_answers[answer->exchange] = answer->answer;
     } else if (const auto *reply = std::get_if<Reply>(&effect)) {
         m_readiness[reply->exchange] = std::get<ReadinessAnswer>(reply->answer).ready;
+    } else if (auto *order = std::get_if<CallWorker>(&effect)) {
+        m_orders[host].push_back(std::move(*order));
     } else if (std::holds_alternative<Exit>(effect)) {
         m_exited.insert(host);
     }
@@ -136,9 +151,13 @@
         std::deque<Flight> flights;
         flights.swap(m_flights);
         for (Flight &flight : flights) {
-            if (areConnected(flight.from, flight.to))
-                give(flight.to,
-                     PeerMessageReceived{HostId(flight.from), std::move(flight.message), 0});
+            if (!areConnected(flight.from, flight.to))
+                continue;
+            std::optional<PeerMessage> tampered
+                    = m_tamper ? m_tamper(flight.message) : std::nullopt;
+            if (tampered.has_value())
+                give(flight.to, PeerMessageReceived{HostId(flight.from), *std::move(tampered), 0});
+            give(flight.to, PeerMessageReceived{HostId(flight.from), std::move(flight.message), 0});
         }
         for (auto &[host, disk] : m_disks) {
             if (disk.written.empty() || !m_hosts.contains(host))
--- a/tests/control/jobs/cell_group.h
+++ b/tests/control/jobs/cell_group.h
@@ -3,11 +3,13 @@
 #include "control/jobs/cell_root.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gentiancross::tests {
@@ -27,9 +29,25 @@
     void restart(const std::string &host);
     void loseDisk(const std::string &host) { m_disks.erase(host); }
     void shutDown(const std::string &host);
+    /** The process stands still; what comes for it waits until it goes on. */
+    void pause(const std::string &host) { m_waiting[host]; }
+    void goOn(const std::string &host);
     /** Messages pass only within each group. */
     void partition(std::vector<std::set<std::string>> groups) { m_groups = std::move(groups); }
     void heal() { m_groups.clear(); }
+    /** What \a tamper makes of a message comes before the message itself. */
+    void setTamper(std::function<std::optional<PeerMessage>(const PeerMessage &)> tamper)
+    {
+        m_tamper = std::move(tamper);
+    }
+    /** Orders to workers that left the host since the last call. */
+    std::vector<CallWorker> takeOrders(const std::string &host)
+    {
+        return std::exchange(m_orders[host], {});
+    }
+    [[nodiscard]] Instant now() const { return m_now; }
+    /** An event of the host's own, such as a worker's answer. */
+    void give(const std::string &host, EventPayload payload);
 
     ExchangeId call(const std::string &host, const CellCall &call, std::int64_t patience = 3000);
     /** The answer to a call, once there is one. */
@@ -63,7 +81,6 @@
     };
 
     void start(const std::string &host, bool isFounding);
-    void give(const std::string &host, EventPayload payload);
     void countEntries(const std::string &to, const AppendRequest &append);
     void carryOut(const std::string &host, Effect effect);
     [[nodiscard]] bool areConnected(const std::string &first, const std::string &second) const;
@@ -83,6 +100,10 @@
     std::set<std::string> m_exited;
     std::map<std::string, std::size_t> m_entriesSent;
     std::map<std::string, std::size_t> m_largestSent;
+    /** What came for processes that stand still. */
+    std::map<std::string, std::vector<EventPayload>> m_waiting;
+    std::function<std::optional<PeerMessage>(const PeerMessage &)> m_tamper;
+    std::map<std::string, std::vector<CallWorker>> m_orders;
 };
 
 } // namespace gentiancross::tests
--- /dev/null
+++ b/tests/control/jobs/cell_pause_test.cpp
@@ -0,0 +1,226 @@
+#include "tests/control/jobs/cell_group.h"
+#include "tests/control/jobs/job_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+/** How long a process stands still: longer than every permission of a cell. */
+constexpr std::int64_t PauseMilliseconds = 5000;
+
+PutDocument makePut(std::uint64_t version, const std::vector<std::string> &keys)
+{
+    ConfigDocument document;
+    document.version = DocumentVersion(version);
+    document.source = "version " + std::to_string(version);
+    QueueConfig queue;
+    queue.queue = QueueId("checks");
+    queue.host = "h";
+    queue.pathPrefix = "/q/";
+    queue.timeout = Milliseconds(3000);
+    queue.pool = PoolId("pool");
+    document.queues = {queue};
+    document.pools = {{PoolId("pool"), false}};
+    TeamConfig team;
+    team.team = TeamId("alpha");
+    for (const std::string &key : keys)
+        team.keys.emplace_back(key);
+    document.teams = {team};
+    return {document, {}};
+}
+
+JobCall makeSubmit(int number, const std::string &key)
+{
+    JobSpec spec;
+    spec.steps = {makeStep(1, 100)};
+    const std::string digits = std::to_string(number);
+    return {JobVerb::Submit, "h",  "/q/" + std::string(16 - digits.size(), '0') + digits,
+            ApiKey(key),     spec, {}};
+}
+
+WorkerBeat makeBeat(const std::string &worker, std::int64_t born, std::uint64_t sequence)
+{
+    WorkerBeat beat;
+    beat.report.life = makeLife(worker, born);
+    beat.report.pool = PoolId("pool");
+    beat.report.address = worker + ":1";
+    beat.report.capacity = {MilliCores(1000), Mebibytes(5000), Accelerators(0), Slots(0)};
+    beat.clock = 1000;
+    beat.sequence = sequence;
+    return beat;
+}
+
+bool isDone(const CallAnswer *answer)
+{
+    return answer != nullptr && std::holds_alternative<CallDone>(*answer);
+}
+
+std::string sourceOf(const CallAnswer *answer)
+{
+    const auto *shown = answer == nullptr ? nullptr : std::get_if<DocumentShown>(answer);
+    return shown == nullptr ? std::string() : shown->source;
+}
+
+/** A cell with one worker, keys "old" and "new", and a run at work. */
+struct Cell
+{
+    Cell()
+        : group(4, 1)
+    {
+        group.pass(4000);
+        const ExchangeId put = group.call("k1", makePut(1, {"old", "new"}));
+        group.wait(put, 2000);
+        REQUIRE(isDone(group.answer(put)));
+        leader = group.leader().value_or("");
+        REQUIRE_FALSE(leader.empty());
+        group.call(leader, makeBeat("w", 1, 1));
+        const ExchangeId submit = group.call("e1", makeSubmit(1, "old"));
+        group.wait(submit, 1000);
+        REQUIRE(isDone(group.answer(submit)));
+        group.pass(500);
+    }
+
+    /** The orders that have left any host since the last call. */
+    std::vector<CallWorker> takeAllOrders()
+    {
+        std::vector<CallWorker> all;
+        for (const char *host : {"k1", "k2", "k3", "k4"}) {
+            for (CallWorker &order : group.takeOrders(host))
+                all.push_back(std::move(order));
+        }
+        return all;
+    }
+
+    std::optional<CallWorker> findOrder(std::size_t kind)
+    {
+        std::optional<CallWorker> found;
+        for (const CallWorker &order : takeAllOrders()) {
+            if (order.order.index() == kind)
+                found = order;
+        }
+        return found;
+    }
+
+    CellGroup group;
+    std::string leader;
+};
+
+/** The place of OrderStart in WorkerOrder. */
+constexpr std::size_t StartKind = 0;
+
+} // namespace
+
+// Guards against a leader that stood still and then acts on a lease that ran out meanwhile.
+TEST_CASE("A leader that stood still orders nothing, though a worker's new life comes first")
+{
+    Cell cell;
+    const std::optional<CallWorker> start = cell.findOrder(StartKind);
+    REQUIRE(start.has_value());
+    cell.group.pause(cell.leader);
+    // The start may reach the worker's next life, which its former leader would stop there.
+    cell.group.call(cell.leader, makeBeat("w", 2, 1));
+    cell.group.pass(PauseMilliseconds);
+    cell.takeAllOrders();
+    const Fence former = start->fence;
+    cell.group.goOn(cell.leader);
+    for (const CallWorker &order : cell.takeAllOrders())
+        CHECK(order.fence != former);
+    cell.group.pass(2000);
+    for (const CallWorker &order : cell.takeAllOrders())
+        CHECK(order.fence != former);
+}
+
+TEST_CASE("A leader that stood still stops nothing for a list that came meanwhile")
+{
+    Cell cell;
+    std::optional<CallWorker> hold;
+    cell.takeAllOrders();
+    for (int step = 0; step < 40 && !hold.has_value(); ++step) {
+        cell.group.pass(50);
+        for (const CallWorker &order : cell.takeAllOrders()) {
+            if (std::holds_alternative<OrderHold>(order.order)) {
+                hold = order;
+                continue;
+            }
+            WorkerAnswer done;
+            done.call = order.call;
+            done.verdict = WorkerVerdict::Done;
+            done.clock = 1000;
+            cell.group.give(cell.leader, std::move(done));
+        }
+    }
+    REQUIRE(hold.has_value());
+    cell.group.pause(cell.leader);
+    WorkerAnswer list;
+    list.call = hold->call;
+    list.verdict = WorkerVerdict::Done;
+    list.clock = 1000;
+    RunListed other;
+    other.task = makeTask("0000000000000009", 0, 0);
+    other.run = RunNumber(1);
+    list.running.push_back(other);
+    cell.group.give(cell.leader, std::move(list));
+    cell.group.pass(PauseMilliseconds);
+    cell.takeAllOrders();
+    cell.group.goOn(cell.leader);
+    for (const CallWorker &order : cell.takeAllOrders())
+        CHECK(order.fence != hold->fence);
+}
+
+TEST_CASE("A leader that stood still accepts no key and shows no configuration that is withdrawn")
+{
+    Cell cell;
+    cell.group.pause(cell.leader);
+    const ExchangeId submit = cell.group.call(cell.leader, makeSubmit(2, "old"));
+    const ExchangeId get = cell.group.call(cell.leader, GetDocument{});
+    const std::string other = cell.leader == "k1" ? "k2" : "k1";
+    cell.group.pass(3000);
+    const ExchangeId put = cell.group.call(other, makePut(2, {"new"}));
+    cell.group.wait(put, 2000);
+    REQUIRE(isDone(cell.group.answer(put)));
+    cell.group.pass(PauseMilliseconds);
+    cell.group.goOn(cell.leader);
+    cell.group.pass(3000);
+    CHECK_FALSE(isDone(cell.group.answer(submit)));
+    CHECK(sourceOf(cell.group.answer(get)) != "version 1");
+    const ExchangeId look = cell.group.call(cell.leader, GetDocument{});
+    cell.group.wait(look, 2000);
+    CHECK(sourceOf(cell.group.answer(look)) == "version 2");
+}
+
+TEST_CASE("An entry host that stood still passes nothing on to a leader of long ago")
+{
+    Cell cell;
+    cell.group.pause("e1");
+    cell.group.pass(1000);
+    for (const char *keeper : {"k1", "k2", "k3", "k4"})
+        cell.group.crash(keeper);
+    const ExchangeId submit = cell.group.call("e1", makeSubmit(3, "new"));
+    cell.group.pass(PauseMilliseconds);
+    const ExchangeId later = cell.group.call("e1", makeSubmit(4, "new"));
+    cell.group.goOn("e1");
+    CHECK_FALSE(isDone(cell.group.answer(submit)));
+    CHECK_FALSE(isDone(cell.group.answer(later)));
+    CHECK_FALSE(cell.group.isReady("e1"));
+}
+
+TEST_CASE("A keeper that stood still sends no order that ran out meanwhile")
+{
+    Cell cell;
+    cell.takeAllOrders();
+    // The leader's orders go through other keepers; each of them stands still once.
+    for (const char *keeper : {"k1", "k2", "k3", "k4"}) {
+        if (keeper == cell.leader)
+            continue;
+        cell.group.pause(keeper);
+        cell.group.pass(PauseMilliseconds);
+        cell.group.takeOrders(keeper);
+        cell.group.goOn(keeper);
+        for (const CallWorker &order : cell.group.takeOrders(keeper))
+            CHECK(order.validUntil <= cell.group.now());
+        cell.group.pass(2000);
+    }
+}
--- a/tests/control/root_test.cpp
+++ b/tests/control/root_test.cpp
@@ -402,3 +402,30 @@
     CHECK(again->outcome == Outcome::Unknown);
     CHECK(host.count<StartTask>() == 1);
 }
+
+// Guards against an authority that stood still and then starts work on a lease that ran out.
+TEST_CASE("An authority that stood still starts nothing on a lease that ran out meanwhile")
+{
+    SoloHost host(tests::Company::Mirror);
+    host.prepare();
+    host.setMirrorAnswering(false);
+    const Instant before = host.workerClock() - Milliseconds(5'000'000);
+    host.pass(Milliseconds(5000));
+    host.submit("x", true);
+    // What the mirror had answered before comes now.
+    MirrorReply late{DataCentreId("hobart"),
+                     Epoch(1),
+                     makeReplica(HostId("mirror"), false, "1"),
+                     before,
+                     RecordSequence(1000),
+                     true,
+                     false};
+    host.feed(PeerMessageReceived{HostId("mirror"), std::move(late), 0});
+    CHECK(host.count<StartTask>() == 0);
+    // With the mirror's word for a new question it may start again.
+    host.setMirrorAnswering(true);
+    host.run(20);
+    host.announce();
+    host.announce();
+    CHECK(host.count<StartTask>() == 1);
+}
