End no host for a state that lacks its data centre

A whole state without the data centre that the host decides for was read through a null pointer.

The test failed before: root_test.cpp:434: FAILED: SIGSEGV - Segmentation violation signal

--- a/control/root.cpp
+++ b/control/root.cpp
@@ -287,7 +287,8 @@
 {
     std::vector<DataCentreId> ended;
     for (const auto &[dataCentre, cell] : m_cells) {
-        if (m_agreement.state().authority(dataCentre)->epoch != cell->epoch())
+        const AuthorityData *const authority = m_agreement.state().authority(dataCentre);
+        if (authority == nullptr || authority->epoch != cell->epoch())
             ended.push_back(dataCentre);
     }
     for (const DataCentreId &dataCentre : ended)
--- a/tests/control/root_test.cpp
+++ b/tests/control/root_test.cpp
@@ -429,3 +429,18 @@
     host.announce();
     CHECK(host.count<StartTask>() == 1);
 }
+
+// Guards against a state without the own data centre, which ended the host that took it in.
+TEST_CASE("A state of the log that knows nothing of the own data centre ends no host")
+{
+    SoloHost host;
+    host.prepare();
+    InstallSnapshot message;
+    message.leader = makeReplica(HostId("solo"), true, "2");
+    message.term = Term(99);
+    message.snapshot.index = LogIndex(1'000'000);
+    message.snapshot.term = Term(99);
+    host.feed(PeerMessageReceived{HostId("solo"), message, 0});
+    host.submit("x", true);
+    CHECK(host.count<StartTask>() == 0);
+}
