Start no sender for a host whose name is no address

Each malformed name of a host in a message cost a thread and a connection that was tried for ever. Calls without a message are logged as malformed too.

The test failed before: peer_link_test.cpp:33: FAILED: CHECK( countThreads() == before ) 13 == 5

--- a/servers/peer_link.cpp
+++ b/servers/peer_link.cpp
@@ -4,6 +4,8 @@
 #include "drivers/codec.h"
 #include "drivers/log.h"
 
+#include <absl/strings/numbers.h>
+
 namespace gentiancross {
 
 namespace {
@@ -49,6 +51,15 @@
     return bytes;
 }
 
+/** True for "ip:port"; a malformed name must not cost a thread. */
+bool isAddress(const std::string &host)
+{
+    const std::size_t colon = host.find(':');
+    std::uint32_t port = 0;
+    return colon != std::string::npos && colon > 0 && host.find_first_not_of("0123456789.") == colon
+            && absl::SimpleAtoi(host.substr(colon + 1), &port) && port > 0 && port <= UINT16_MAX;
+}
+
 void writeMessage(std::string &text, const SendToPeer &message)
 {
     text += '[' + std::to_string(message.logicalTime) + ',';
@@ -161,6 +172,8 @@
     const auto sender = m_senders.find(message.to);
     if (sender != m_senders.end()) {
         sender->second->put(std::move(message));
+    } else if (m_addresses.hostsAreAddresses && !isAddress(message.to.value())) {
+        logWarning(message.to.value(), "peer link: nothing can be sent there, it is no address");
     } else if (m_addresses.hostsAreAddresses) {
         Sender &added = addSender(message.to, message.to.value());
         added.activate();
@@ -178,7 +191,7 @@
 {
     Json::Value batch;
     HostId from;
-    if (!codec::fromText(text, batch) || !batch.isArray() || batch.empty()
+    if (!codec::fromText(text, batch) || !batch.isArray() || batch.size() < 2
         || !codec::decode(batch[0], from)) {
         logWarning("peer link", "a call could not be decoded");
         return;
