--- /dev/null
+++ b/tests/control/agreement_restart_test.cpp
@@ -0,0 +1,178 @@
+#include "control/agreement.h"
+#include "drivers/codec.h"
+#include "drivers/journal_file.h"
+#include "tests/control/jobs/job_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+struct Change
+{
+    std::string proposal;
+    AgreedCommand command;
+};
+
+ConfigDocument makeDocument(std::uint64_t version, const std::string &key)
+{
+    ConfigDocument document;
+    document.version = DocumentVersion(version);
+    document.teams = {{TeamId("alpha"), {ApiKey(key)}, 1, {}}};
+    return document;
+}
+
+WorkerReport makeReport(bool isDraining)
+{
+    WorkerReport report;
+    report.life = makeLife("w");
+    report.pool = PoolId("pool");
+    report.isDraining = isDraining;
+    return report;
+}
+
+AgreedCommand changeJobs(std::vector<JobRecord> records)
+{
+    return JobChanges{std::move(records)};
+}
+
+/** A key and a worker of each stack come, are withdrawn and leave; then old words are repeated. */
+std::vector<Change> makeChanges()
+{
+    const GrantKey grant{TeamId("t"), KeyId("k"), KeyHash("hash")};
+    return {{"op:team", PutTeam{TeamId("t"), ObjectVersion(), 1, MilliCores(100)}},
+            {"op:grant", grant},
+            {"", changeJobs({DocumentAccepted{makeDocument(1, "old")}})},
+            {"", changeJobs({WorkerSeen{makeReport(false)}})},
+            {"", changeJobs({makeJob("00000000000000aa", {makeStep(1, 100)})})},
+            {"op:withdraw", WithdrawKey{TeamId("t"), KeyId("k")}},
+            {"", changeJobs({DocumentAccepted{makeDocument(2, "new")}})},
+            {"", changeJobs({WorkerSeen{makeReport(true)}})},
+            {"", changeJobs({WorkerGone{makeLife("w")}})},
+            {"op:grant", grant},
+            {"op:grant-again", grant},
+            {"", changeJobs({DocumentAccepted{makeDocument(1, "old")}})}};
+}
+
+/** The only voter of a log, whose process ends and begins at a test's will. */
+class Keeper
+{
+public:
+    Keeper()
+    {
+        m_directory.self = HostId("a");
+        m_directory.hosts[HostId("a")] = {HostId("a"), DataCentreId("x"), true};
+        m_directory.initialVoters = {HostId("a")};
+        restart();
+    }
+
+    void restart()
+    {
+        std::size_t usable = 0;
+        const auto records = JournalFile::decodeRecords(m_journal, usable);
+        REQUIRE(records.ok());
+        m_out = Outbox(true);
+        m_agreement.emplace(m_directory, Identity{ReplicaId("a#d-1"), SessionId("s")}, 1);
+        for (const JournalRecord &record : *records)
+            m_agreement->recover(record);
+        m_agreement->recovered(m_now, records->empty());
+        for (int step = 0; step < 400 && !isDeciding(); ++step) {
+            m_now = m_now + Milliseconds(50);
+            m_agreement->tick(m_now, m_out);
+            flush();
+        }
+        REQUIRE(isDeciding());
+    }
+
+    void apply(const Change &change)
+    {
+        REQUIRE(m_agreement->propose(m_now, ProposalId(change.proposal), change.command, m_out)
+                        .ok());
+        flush();
+    }
+
+    void compact()
+    {
+        m_out.replaceJournal(m_agreement->compact());
+        flush();
+    }
+
+    [[nodiscard]] const AgreedState &state() const { return m_agreement->state(); }
+
+private:
+    [[nodiscard]] bool isDeciding() const
+    {
+        return m_agreement->isLeader() && m_agreement->hasAppliedOwnTerm();
+    }
+
+    void flush()
+    {
+        for (int pass = 0; pass < 3; ++pass) {
+            for (Effect &effect : m_out.take()) {
+                auto *persist = std::get_if<Persist>(&effect);
+                if (persist == nullptr)
+                    continue;
+                if (persist->replaceAll)
+                    m_journal.clear();
+                for (const JournalRecord &record : persist->records)
+                    m_journal += JournalFile::encodeRecord(record);
+                m_out.synced(persist->token);
+                m_agreement->synced(m_now, persist->token, m_out);
+            }
+        }
+        m_agreement->takeApplied();
+    }
+
+    HostDirectory m_directory;
+    std::string m_journal;
+    Outbox m_out{true};
+    std::optional<Agreement> m_agreement;
+    Instant m_now{1'000'000};
+};
+
+/** What the two stacks know of keys, workers and jobs, as text. */
+std::string textOf(const AgreedState &state)
+{
+    std::string text;
+    for (const auto &[name, team] : state.data().teams)
+        text += codec::textOf(team);
+    return text + codec::textOf(state.data().jobs);
+}
+
+} // namespace
+
+// Guards against a withdrawn key or a worker that has left being in use again after a restart.
+TEST_CASE("Wherever a process ends between two snapshots, it knows what it had acknowledged")
+{
+    const std::vector<Change> changes = makeChanges();
+    std::vector<std::string> expected;
+    Keeper steady;
+    for (const Change &change : changes) {
+        expected.push_back(textOf(steady.state()));
+        steady.apply(change);
+    }
+    CHECK_FALSE(steady.state().teamOfKey(KeyHash("hash")).has_value());
+    CHECK(steady.state().data().jobs.document->version == DocumentVersion(2));
+    CHECK(steady.state().data().jobs.workers.empty());
+    for (std::size_t compaction = 0; compaction <= changes.size(); ++compaction) {
+        for (std::size_t end = 0; end <= changes.size(); ++end) {
+            INFO("compaction before " << compaction << ", restart before " << end);
+            Keeper keeper;
+            for (std::size_t place = 0; place < changes.size(); ++place) {
+                if (place == compaction)
+                    keeper.compact();
+                if (place == end) {
+                    keeper.restart();
+                    CHECK(textOf(keeper.state()) == expected[place]);
+                }
+                keeper.apply(changes[place]);
+            }
+            keeper.restart();
+            CHECK(textOf(keeper.state()) == textOf(steady.state()));
+        }
+    }
+}
