--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -180,6 +180,11 @@
     }
     PooledWorker *worker = m_pool.find(life);
     const bool isNew = worker == nullptr;
+    if (isNew && hasLeft(life)) {
+        out.note(life.worker.value(), "late heartbeat of a worker that has left");
+        answer(origin, taken);
+        return;
+    }
     if (!isNew && call.sequence <= worker->lastSequence && worker->lastSequence != 0) {
         answer(origin, taken);
         return;
@@ -208,6 +213,12 @@
     answer(origin, taken);
 }
 
+bool CellLeader::hasLeft(const WorkerLife &life) const
+{
+    const std::vector<WorkerLife> &left = m_book.leftWorkers;
+    return std::find(left.begin(), left.end(), life) != left.end();
+}
+
 BeatsUnknown CellLeader::receive(Instant now, const BeatsSeen &seen)
 {
     BeatsUnknown unknown;
@@ -220,7 +231,7 @@
         if (beat.sequence <= worker->lastSequence)
             continue;
         worker->lastSequence = beat.sequence;
-        worker->lastBeat = std::max(worker->lastBeat, now - beat.age);
+        worker->lastBeat = std::max(worker->lastBeat, now - std::max(beat.age, Milliseconds(0)));
         if (!worker->clock.has_value())
             WorkerPool::tellClock(*worker, now, beat.clock);
     }
@@ -236,8 +247,10 @@
         if (life.worker == call.worker && worker.report.isDraining)
             ended.push_back(life);
     }
-    for (const WorkerLife &life : ended)
+    for (const WorkerLife &life : ended) {
         m_runs.endLife(life, "it left", out);
+        apply(WorkerLeft{life});
+    }
     answer(origin, CallDone{});
 }
 
@@ -252,6 +265,15 @@
     m_planner.noteChange();
 }
 
+bool CellLeader::mayBegin(const Job &job)
+{
+    std::uint64_t tasks = 0;
+    for (const StepSpec &step : job.spec.steps)
+        tasks += step.count;
+    const std::uint64_t underWay = job.occurrencesBegun - job.occurrencesDone;
+    return (underWay + 1) * tasks <= MostTasksOfJob;
+}
+
 void CellLeader::beginDue(Milliseconds wall)
 {
     const std::set<JobId> timed = m_timed;
@@ -259,7 +281,7 @@
         const Job &job = m_book.jobs.at(id);
         const Milliseconds due
                 = job.spec.firstDue + job.spec.period * std::int64_t(job.occurrencesBegun);
-        if (wall >= due)
+        if (wall >= due && mayBegin(job))
             apply(OccurrenceBegun{id});
     }
 }
--- a/control/jobs/job_book.cpp
+++ b/control/jobs/job_book.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/** Heartbeats that were under way when a worker left come within seconds; some hours of workers
+ * that leave on an ordinary day. */
+constexpr std::size_t LeftWorkersKept = 1000;
+
 /** Applies one record; a record that does not fit the book any more changes nothing. */
 class Applier
 {
@@ -23,6 +27,8 @@
 
     void operator()(const JobAccepted &record)
     {
+        if (!jobbook::isRunnable(record.spec))
+            return;
         const auto [found, isNew] = m_data.jobs.try_emplace(record.id);
         if (!isNew)
             return;
@@ -73,7 +79,7 @@
     {
         Job *const job = findJob(record.task);
         TaskProgress *const task = findTask(record.task);
-        if (task == nullptr)
+        if (task == nullptr || record.run > task->lastRun)
             return;
         const StepSpec &step = job->spec.steps[record.task.step.step];
         if (record.ending == RunEnding::Done && !step.isLasting) {
@@ -99,6 +105,14 @@
 
     void operator()(const WorkerGone &record) { m_data.workers.erase(record.life); }
 
+    void operator()(const WorkerLeft &record)
+    {
+        m_data.workers.erase(record.life);
+        m_data.leftWorkers.push_back(record.life);
+        if (m_data.leftWorkers.size() > LeftWorkersKept)
+            m_data.leftWorkers.erase(m_data.leftWorkers.begin());
+    }
+
     void operator()(const RunMoved &record)
     {
         Job *const job = findJob(record.task);
@@ -235,6 +249,19 @@
 
 namespace jobbook {
 
+bool isRunnable(const JobSpec &spec)
+{
+    std::uint64_t tasks = 0;
+    for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
+        const StepSpec &step = spec.steps[number];
+        tasks += step.count;
+        if (std::any_of(step.after.begin(), step.after.end(),
+                        [number](std::uint32_t earlier) { return earlier >= number; }))
+            return false;
+    }
+    return tasks <= MostTasksOfJob;
+}
+
 void apply(JobBookData &data, const JobRecord &record, JobBookObserver *observer)
 {
     std::visit(Applier(data, observer), record);
--- /dev/null
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -0,0 +1,122 @@
+#include "tests/control/jobs/leader_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+const std::string jobA = "00000000000000aa";
+
+JobState stateOf(const CallAnswer &answer)
+{
+    return std::get<JobShown>(answer).state;
+}
+
+/** A beat of worker "w" that came late or is malformed. */
+WorkerBeat makeBeat(std::uint64_t sequence)
+{
+    WorkerBeat beat;
+    beat.report.life = makeLife("w");
+    beat.report.pool = PoolId("pool");
+    beat.report.address = "w:1";
+    beat.report.capacity = {MilliCores(1000), Mebibytes(10'000), Accelerators(0), Slots(0)};
+    beat.clock = 10'000;
+    beat.sequence = sequence;
+    return beat;
+}
+
+std::size_t occurrencesOf(LeaderBench &bench, const std::string &job)
+{
+    return bench.leader().book().jobs.at(JobId(job)).occurrences.size();
+}
+
+} // namespace
+
+// Guards against a listed end of a run that was never ordered, which ended its task undone.
+TEST_CASE("An end of a run that was never ordered completes nothing")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    const RunListed running{makeTask(jobA, 0, 0), RunNumber(1), {}, 100, 0};
+    const EndListed jump{
+            EndNumber(1), makeTask(jobA, 0, 0), RunNumber(1ULL << 60), RunEnding::Done, {}};
+    bench.answerHold("w", {running}, {jump});
+    CHECK(stateOf(bench.look(jobA)) == JobState::Running);
+}
+
+// Guards against a job whose occurrences fall due faster than they end and fill all memory.
+TEST_CASE("A job that falls due without a pause begins no more than can be under way")
+{
+    constexpr std::uint32_t Tasks = 5000;
+    constexpr std::size_t MostUnderWay = 20'000 / Tasks;
+    LeaderBench bench;
+    bench.configure();
+    JobSpec spec;
+    spec.steps = {makeStep(Tasks, 100)};
+    spec.repeats = 4'000'000'000;
+    bench.call(JobCall{JobVerb::Submit, "h", "/q/" + jobA, ApiKey("key-of-alpha"), spec, {}});
+    bench.pass(3000);
+    CHECK(occurrencesOf(bench, jobA) > 0);
+    CHECK(occurrencesOf(bench, jobA) <= MostUnderWay);
+}
+
+// Guards against a worker that has left and is used again for a heartbeat that was under way.
+TEST_CASE("A worker that has left is not used again when an earlier heartbeat comes late")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    bench.beat("w", 1, true);
+    bench.call(WorkerLeave{WorkerId("w")});
+    bench.call(makeBeat(1));
+    bench.submit(jobA, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    // The next life of the same name is another worker.
+    bench.beat("w", 2);
+    CHECK(bench.takeStarts().size() == 1);
+}
+
+// Guards against a successor that uses a worker which had left under its predecessor.
+TEST_CASE("A worker that has left is not used by the next leader either")
+{
+    LeaderBench first;
+    first.configure();
+    first.beat("w");
+    first.beat("w", 1, true);
+    first.call(WorkerLeave{WorkerId("w")});
+    LeaderBench second(first.leader().book());
+    second.call(makeBeat(1));
+    second.submit(jobA, {makeStep(1, 100)});
+    CHECK(second.takeStarts().empty());
+}
+
+// Guards against a malformed age that makes a worker count as heard for ever.
+TEST_CASE("A heartbeat from the future does not keep a silent worker in use")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    const BeatSeen future{makeLife("w"), 1000, 10'000, Milliseconds(-1'000'000'000)};
+    bench.leader().receive(Instant(10'000), BeatsSeen{{future}});
+    bench.pass(20'000);
+    CHECK(bench.leader().book().workers.empty());
+}
+
+// Guards against a record with more tasks than memory holds, which would end every keeper.
+TEST_CASE("A job of more tasks than any caller may hand in changes nothing")
+{
+    JobBookData book;
+    jobbook::apply(book, makeJob(jobA, {makeStep(4'000'000'000, 100)}), nullptr);
+    CHECK(book.jobs.empty());
+    jobbook::apply(book, makeJob(jobA, {makeStep(1, 100), makeStep(1, 100, {7})}), nullptr);
+    CHECK(book.jobs.empty());
+    jobbook::apply(book, makeJob(jobA, {makeStep(1, 100), makeStep(1, 100, {0})}), nullptr);
+    CHECK(book.jobs.size() == 1);
+}
