--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -4,12 +4,14 @@
 #include "control/jobs/call_desk.h"
 #include "control/jobs/job_book.h"
 #include "control/jobs/run_desk.h"
+#include "control/jobs/start_admission.h"
 #include "control/jobs/start_planner.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -120,6 +122,7 @@
     [[nodiscard]] static bool mayBegin(const Job &job);
     void beginDue(Milliseconds wall);
     void forgetEnded();
+    void noteAdmission(Outbox &out);
     /** When an earlier leader accepted the job, as far as this host's clock can tell. */
     [[nodiscard]] Instant arrivalOf(const Job &job, Milliseconds newest) const;
 
@@ -130,6 +133,9 @@
     WorkerPool m_pool;
     AdviceDesk m_advice;
     CallDesk m_desk;
+    std::unique_ptr<StartAdmission> m_admission;
+    /** The limit of starts under way that was logged last. */
+    std::size_t m_notedLimit = 0;
     RunDesk m_runs;
     StartPlanner m_planner;
     Decisions m_decisions;
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -62,11 +62,12 @@
 } // namespace
 
 RunDesk::RunDesk(Fence fence, const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
-                 RunSink &sink)
+                 StartAdmission &admission, RunSink &sink)
     : m_fence(fence)
     , m_book(book)
     , m_pool(pool)
     , m_advice(advice)
+    , m_admission(admission)
     , m_sink(sink)
     , m_lastCall(fence.value() << NumberBitsOfLeader)
 {}
@@ -142,6 +143,7 @@
         return;
     const Call call = std::move(found->second);
     m_calls.erase(found);
+    m_admission.answered(now, answer.call, answer.verdict);
     PooledWorker *const worker = m_pool.find(call.life);
     if (worker == nullptr)
         return;
@@ -527,6 +529,9 @@
     effect.leaseUntil = *until;
     m_calls.emplace(effect.call,
                     Call{OrderKind::Start, worker.report.life, task, run.run, {}, *until});
+    // Repetitions go to silent workers, whose share of the admission others may use.
+    if (!isRepetition)
+        m_admission.ordered(now, effect.call);
     out.note(task.step.job.value(),
              absl::StrCat(isRepetition ? "start repeated: task=" : "start ordered: task=",
                           nameOf(task), " run=", run.run.value(),
--- a/control/jobs/run_desk.h
+++ b/control/jobs/run_desk.h
@@ -3,6 +3,7 @@
 #include "control/jobs/advice_desk.h"
 #include "control/jobs/job_book.h"
 #include "control/jobs/run_meter.h"
+#include "control/jobs/start_admission.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
 
@@ -40,7 +41,7 @@
 public:
     /** All must outlive this object. */
     RunDesk(Fence fence, const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
-            RunSink &sink);
+            StartAdmission &admission, RunSink &sink);
 
     /** Orders a run whose record is durable. Precondition: it is open on \a worker. */
     void orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, Outbox &out);
@@ -110,6 +111,7 @@
     const JobBookData &m_book;
     WorkerPool &m_pool;
     AdviceDesk &m_advice;
+    StartAdmission &m_admission;
     RunSink &m_sink;
     RunMeter m_meter;
     std::map<CallId, Call> m_calls;
