Tell no call as unsent once a copy of it has left

Cause: when a kept connection dies without a byte of an answer, libcurl sends the call again on a new one. The order's age is asked before each copy; if the second is too late, or finds nobody, the client told the call as never sent, although the first copy had left and may have been carried out. A leader then takes back the lease that the order had granted and treats the next start as the first one; an entry host tells its caller that the request did not run, or takes it to another data centre.

Evidence: http_client_test, before: http_client_test.cpp:132: FAILED: CHECK_FALSE( result.hasExpired ) http_client_test.cpp:133: FAILED: CHECK( result.fate == CallFate::Broken ) 2 == 3 http_client_test.cpp:150: FAILED: CHECK( second.get().fate == CallFate::Broken ) 2 == 3

Why it works: the transfer remembers that a copy was let go, whatever becomes of the next one; only a call of which no copy was let go counts as unsent.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -98,6 +98,8 @@
         Headers answerHeaders;
         bool tooLarge = false;
         bool hasExpired = false;
+        /** True once a copy was let go; the library may send another. */
+        bool mayHaveLeft = false;
     };
 
     using SteadyClock = std::chrono::steady_clock;
@@ -117,7 +119,6 @@
     void finish(CURL *easy, CURLcode code);
     static HttpResult expired(const Transfer &transfer);
     static HttpResult resultOf(Transfer &transfer, CURLcode code);
-    static bool wasSent(CURL *easy, CURLcode code);
     static bool isWhole(const Transfer &transfer);
 
     CURLM *m_multi;
@@ -303,10 +304,8 @@
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(transfer->call.body->size()));
     }
-    if (transfer->call.isValid) {
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Implementation::onRequest);
-        curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
-    }
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Implementation::onRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
     curl_multi_add_handle(m_multi, easy);
     m_running.emplace(easy, std::move(transfer));
 }
@@ -314,8 +313,11 @@
 int HttpClient::Implementation::onRequest(void *target, char *, char *, int, int)
 {
     auto &transfer = *static_cast<Transfer *>(target);
-    transfer.hasExpired = !transfer.call.isValid();
-    return transfer.hasExpired ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    transfer.hasExpired = transfer.call.isValid && !transfer.call.isValid();
+    if (transfer.hasExpired)
+        return CURL_PREREQFUNC_ABORT;
+    transfer.mayHaveLeft = true;
+    return CURL_PREREQFUNC_OK;
 }
 
 size_t HttpClient::Implementation::onBody(char *data, size_t size, size_t count, void *target)
@@ -366,16 +368,6 @@
     transfer.completion(std::move(result));
 }
 
-bool HttpClient::Implementation::wasSent(CURL *easy, CURLcode code)
-{
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST
-        || code == CURLE_URL_MALFORMAT)
-        return false;
-    curl_off_t beforeSending = 0;
-    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &beforeSending);
-    return beforeSending > 0;
-}
-
 bool HttpClient::Implementation::isWhole(const Transfer &transfer)
 {
     // The library checks what was told; an answer that ends with its connection tells nothing.
@@ -396,13 +388,14 @@
 
 HttpResult HttpClient::Implementation::resultOf(Transfer &transfer, CURLcode code)
 {
-    if (transfer.hasExpired)
+    // A copy that left before may be carried out, whatever became of its repetition.
+    if (transfer.hasExpired && !transfer.mayHaveLeft)
         return expired(transfer);
     HttpResult result;
     if (code != CURLE_OK || !isWhole(transfer)) {
         const std::string what
                 = code == CURLE_OK ? "the answer's end was not told" : curl_easy_strerror(code);
-        result.fate = wasSent(transfer.easy, code) ? CallFate::Broken : CallFate::NotSent;
+        result.fate = transfer.mayHaveLeft ? CallFate::Broken : CallFate::NotSent;
         result.error
                 = makeError(absl::StatusCode::kUnavailable, Step::Network, transfer.call.url, what);
         return result;
--- /dev/null
+++ b/tests/drivers/http_client_test.cpp
@@ -0,0 +1,150 @@
+#include "drivers/http_client.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <future>
+#include <memory>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace gentiancross;
+
+namespace {
+
+constexpr char Ip[] = "127.9.9.3";
+constexpr char EmptyAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/** A connection that a test serves by hand. */
+class ServedConnection
+{
+public:
+    explicit ServedConnection(int socket)
+        : m_socket(socket)
+    {}
+    ServedConnection(const ServedConnection &) = delete;
+    ServedConnection &operator=(const ServedConnection &) = delete;
+    ~ServedConnection() { close(); }
+
+    /** Waits for the head of a request without a body. */
+    void readRequest() const
+    {
+        std::string text;
+        char byte = 0;
+        while (text.find("\r\n\r\n") == std::string::npos && ::recv(m_socket, &byte, 1, 0) == 1)
+            text.push_back(byte);
+    }
+
+    void answer() const
+    {
+        REQUIRE(::send(m_socket, EmptyAnswer, sizeof EmptyAnswer - 1, MSG_NOSIGNAL) > 0);
+    }
+
+    void close()
+    {
+        if (m_socket >= 0)
+            ::close(m_socket);
+        m_socket = -1;
+    }
+
+private:
+    int m_socket;
+};
+
+/** A port that a test accepts connections on by hand. */
+class ServedPort
+{
+public:
+    ServedPort()
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        ::inet_pton(AF_INET, Ip, &address.sin_addr);
+        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(m_socket, 8) == 0);
+        socklen_t length = sizeof address;
+        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length);
+        m_port = ntohs(address.sin_port);
+    }
+    ServedPort(const ServedPort &) = delete;
+    ServedPort &operator=(const ServedPort &) = delete;
+    ~ServedPort() { close(); }
+
+    [[nodiscard]] ServedConnection accept() const
+    {
+        return ServedConnection(::accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC));
+    }
+
+    void close()
+    {
+        if (m_socket >= 0)
+            ::close(m_socket);
+        m_socket = -1;
+    }
+
+    [[nodiscard]] HttpCall call(Milliseconds timeout = Milliseconds(20'000)) const
+    {
+        HttpCall call;
+        call.method = "GET";
+        call.url = std::string("http://") + Ip + ':' + std::to_string(m_port) + '/';
+        call.timeout = timeout;
+        return call;
+    }
+
+private:
+    int m_socket;
+    std::uint16_t m_port = 0;
+};
+
+std::future<HttpResult> start(HttpClient &client, HttpCall call)
+{
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    client.start(std::move(call),
+                 [promise](HttpResult result) { promise->set_value(std::move(result)); });
+    return promise->get_future();
+}
+
+} // namespace
+
+TEST_CASE("A call that has left once is not told as unsent when its resend comes too late")
+{
+    // Pattern: connections are reset while workers carry out orders. The library sends again on a
+    // new connection, and that copy alone was judged.
+    ServedPort port;
+    HttpClient client;
+    std::future<HttpResult> first = start(client, port.call());
+    ServedConnection connection = port.accept();
+    connection.readRequest();
+    connection.answer();
+    REQUIRE(first.get().fate == CallFate::Answered);
+    std::atomic<bool> isValid = true;
+    HttpCall call = port.call();
+    call.isValid = [&] { return isValid.load(); };
+    std::future<HttpResult> second = start(client, std::move(call));
+    connection.readRequest();
+    isValid = false;
+    connection.close();
+    const HttpResult result = second.get();
+    CHECK_FALSE(result.hasExpired);
+    CHECK(result.fate == CallFate::Broken);
+}
+
+TEST_CASE("A call that has left once is not told as unsent when its resend finds nobody")
+{
+    // Pattern: a host ends after it has taken a request on; its caller was told that it did not.
+    ServedPort port;
+    HttpClient client;
+    std::future<HttpResult> first = start(client, port.call());
+    ServedConnection connection = port.accept();
+    connection.readRequest();
+    connection.answer();
+    REQUIRE(first.get().fate == CallFate::Answered);
+    std::future<HttpResult> second = start(client, port.call());
+    connection.readRequest();
+    port.close();
+    connection.close();
+    CHECK(second.get().fate == CallFate::Broken);
+}
