Read answers that have arrived before their calls count as late

Cause: calls the library's timers after the sockets, but the library looks at a call's time-out first also when it is told that its socket is readable. So an answer that waited in the socket while the thread was held up was thrown away, its connection closed, and the call counted as not answered.

Evidence: http_client_test "An answer that has arrived...", before: http_client_test.cpp:179: FAILED: CHECK( answered.get().fate == CallFate::Answered ) 3 == 0

Why it works: the client keeps the deadlines itself and ends only calls whose time was over before the sockets were read. An answer that comes in several reads may take as long again.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cctype>
 #include <chrono>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <sys/epoll.h>
@@ -88,6 +89,8 @@
     int svc() override;
 
 private:
+    using SteadyClock = std::chrono::steady_clock;
+
     struct Transfer
     {
         HttpCall call;
@@ -100,10 +103,11 @@
         bool hasExpired = false;
         /** True once a copy was let go; the library may send another. */
         bool mayHaveLeft = false;
+        SteadyClock::time_point deadline;
+        /** True if a part of the answer was read since the last look at the deadlines. */
+        bool hasNews = false;
     };
 
-    using SteadyClock = std::chrono::steady_clock;
-
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *data);
     static int onTimer(CURLM *multi, long milliseconds, void *self);
     static int onRequest(void *target, char *remote, char *local, int remotePort, int localPort);
@@ -112,11 +116,16 @@
     void watch(int operation, int socket, std::uint32_t events) const;
     void wakeUp() const;
     [[nodiscard]] int waitTime() const;
-    void waitAndServe();
+    /** Returns true if all that had arrived was read. */
+    bool waitAndServe();
+    /** Ends the calls whose time was over at \a moment. Precondition: what had arrived then was
+     * read. */
+    void endOverdue(SteadyClock::time_point moment);
     void addNew();
     void begin(std::unique_ptr<Transfer> transfer);
     void finishDone();
     void finish(CURL *easy, CURLcode code);
+    void forgetDeadline(const Transfer &transfer);
     static HttpResult expired(const Transfer &transfer);
     static HttpResult resultOf(Transfer &transfer, CURLcode code);
     static bool isWhole(const Transfer &transfer);
@@ -132,6 +141,8 @@
     std::mutex m_mutex;
     std::vector<std::unique_ptr<Transfer>> m_new;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_running;
+    /** When the calls are to be over. The library's own time-outs come before what has arrived. */
+    std::multimap<SteadyClock::time_point, CURL *> m_deadlines;
     bool m_stopping = false;
 };
 
@@ -207,11 +218,14 @@
 
 int HttpClient::Implementation::waitTime() const
 {
-    if (!m_nextCall.has_value())
-        return LongestWaitMilliseconds;
-    const auto left
-            = std::chrono::ceil<std::chrono::milliseconds>(*m_nextCall - SteadyClock::now());
-    return std::clamp(static_cast<int>(left.count()), 0, LongestWaitMilliseconds);
+    constexpr std::chrono::milliseconds Longest(LongestWaitMilliseconds);
+    SteadyClock::time_point next = SteadyClock::now() + Longest;
+    if (m_nextCall.has_value())
+        next = std::min(next, *m_nextCall);
+    if (!m_deadlines.empty())
+        next = std::min(next, m_deadlines.begin()->first);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(next - SteadyClock::now());
+    return std::max(static_cast<int>(left.count()), 0);
 }
 
 int HttpClient::Implementation::svc()
@@ -223,15 +237,18 @@
                 break;
         }
         addNew();
-        waitAndServe();
+        const SteadyClock::time_point before = SteadyClock::now();
+        const bool hasReadAll = waitAndServe();
         finishDone();
+        if (hasReadAll)
+            endOverdue(before);
     }
     while (!m_running.empty())
         finish(m_running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     return 0;
 }
 
-void HttpClient::Implementation::waitAndServe()
+bool HttpClient::Implementation::waitAndServe()
 {
     std::array<epoll_event, MostReadySockets> ready;
     // Timers go last: an answer that has arrived is read before its call can be taken for late.
@@ -251,6 +268,25 @@
         m_nextCall.reset();
         curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
     }
+    return hasReadAll;
+}
+
+void HttpClient::Implementation::endOverdue(SteadyClock::time_point moment)
+{
+    std::vector<CURL *> overdue;
+    for (const auto &[deadline, easy] : m_deadlines) {
+        if (deadline > moment)
+            break;
+        Transfer &transfer = *m_running.at(easy);
+        const std::chrono::milliseconds timeout(transfer.call.timeout.value());
+        // A larger answer is read in several turns.
+        const bool isBeingRead
+                = std::exchange(transfer.hasNews, false) && moment < deadline + timeout;
+        if (!isBeingRead)
+            overdue.push_back(easy);
+    }
+    for (CURL *const easy : overdue)
+        finish(easy, CURLE_OPERATION_TIMEDOUT);
 }
 
 void HttpClient::Implementation::addNew()
@@ -292,7 +328,6 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMilliseconds);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(transfer->call.timeout.value()));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, transfer->call.freshConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, transfer->call.freshConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Implementation::onBody);
@@ -307,6 +342,9 @@
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Implementation::onRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
     curl_multi_add_handle(m_multi, easy);
+    transfer->deadline
+            = SteadyClock::now() + std::chrono::milliseconds(transfer->call.timeout.value());
+    m_deadlines.emplace(transfer->deadline, easy);
     m_running.emplace(easy, std::move(transfer));
 }
 
@@ -327,6 +365,7 @@
     if (transfer.tooLarge)
         return 0;
     transfer.body.append(data, size * count);
+    transfer.hasNews = true;
     return size * count;
 }
 
@@ -358,6 +397,7 @@
 {
     auto node = m_running.extract(easy);
     Transfer &transfer = *node.mapped();
+    forgetDeadline(transfer);
     HttpResult result = resultOf(transfer, code);
     curl_multi_remove_handle(m_multi, easy);
     if (m_idle.size() < MostIdleHandles)
@@ -368,6 +408,14 @@
     transfer.completion(std::move(result));
 }
 
+void HttpClient::Implementation::forgetDeadline(const Transfer &transfer)
+{
+    const auto [first, last] = m_deadlines.equal_range(transfer.deadline);
+    const auto found = std::find_if(
+            first, last, [&](const auto &entry) { return entry.second == transfer.easy; });
+    m_deadlines.erase(found);
+}
+
 bool HttpClient::Implementation::isWhole(const Transfer &transfer)
 {
     // The library checks what was told; an answer that ends with its connection tells nothing.
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace gentiancross;
@@ -148,3 +149,33 @@
     connection.close();
     CHECK(second.get().fate == CallFate::Broken);
 }
+
+TEST_CASE("An answer that has arrived is read before its call is taken for late")
+{
+    // Pattern: a process that was paused, or had no processor time, took workers for silent whose
+    // answers were there.
+    constexpr Milliseconds Timeout{500};
+    ServedPort port;
+    HttpClient client;
+    std::promise<void> isPaused;
+    std::promise<void> goesOn;
+    client.start(port.call(), [&](const HttpResult &) {
+        isPaused.set_value();
+        goesOn.get_future().wait();
+    });
+    ServedConnection pausing = port.accept();
+    pausing.readRequest();
+    std::future<HttpResult> answered = start(client, port.call(Timeout));
+    ServedConnection served = port.accept();
+    served.readRequest();
+    std::future<HttpResult> silent = start(client, port.call(Timeout));
+    ServedConnection unserved = port.accept();
+    unserved.readRequest();
+    pausing.answer();
+    isPaused.get_future().wait();
+    served.answer();
+    std::this_thread::sleep_for(std::chrono::milliseconds((Timeout + Timeout).value()));
+    goesOn.set_value();
+    CHECK(answered.get().fate == CallFate::Answered);
+    CHECK(silent.get().fate == CallFate::Broken);
+}
