Check an authority's lease when an order leaves, not when the client takes it

Cause: TargetLink looked at `validUntil` when it handed the order to the client; the order then waited for the client's thread and for a new connection, up to 700 ms and any pause of the process. Workers check `notAfter` by their own clock, so no run began late, but the promise of TargetLink did not hold.

Evidence: target_link_test, before: target_link_test.cpp:108: FAILED: CHECK( ends.wait().fate == CallFate::NotSent ) 3 == 2 target_link_test.cpp:109: FAILED: CHECK( worker.orders() == 0 ) 1 == 0

Why it works: the client asks right before the bytes leave, as for a cell's orders.

--- a/servers/target_link.cpp
+++ b/servers/target_link.cpp
@@ -20,6 +20,10 @@
     ended.call = call;
     ended.fate = result.fate;
     ended.error = result.error;
+    if (result.hasExpired)
+        ended.error = makeError(absl::StatusCode::kDeadlineExceeded, Step::Dispatch,
+                                start.worker.value(),
+                                "the authority's lease ran out before the order left");
     if (result.fate != CallFate::Answered)
         return ended;
     ended.httpStatus = result.response.status;
@@ -51,15 +55,6 @@
 void TargetLink::carryOut(Effect effect)
 {
     auto start = std::make_shared<StartTask>(std::get<StartTask>(std::move(effect)));
-    if (m_clock.now() >= start->validUntil) {
-        CallEnded ended;
-        ended.call = start->call;
-        ended.error = makeError(absl::StatusCode::kDeadlineExceeded, Step::Dispatch,
-                                start->worker.value(),
-                                "the authority's lease ran out before the order left");
-        m_events.post(std::move(ended));
-        return;
-    }
     HttpCall call;
     call.method = "POST";
     call.url = start->address + "/tasks";
@@ -68,6 +63,7 @@
     call.body = std::make_shared<const std::string>(std::move(start->order.payload.bytes));
     call.timeout = start->timeout;
     call.freshConnection = true;
+    call.isValid = [this, until = start->validUntil] { return m_clock.now() < until; };
     m_client.start(std::move(call), [this, start](HttpResult result) {
         m_events.post(endOf(start->call, *start, std::move(result)));
     });
