Stop a former leader's start in the worker's next life before it runs elsewhere

Cause: a successor took every inherited start for settled, since its own fence keeps the former leader's order out. A worker that starts anew under its name has seen no fence: the order that is still under way begins there, while the successor has started the task elsewhere (TWICE).

Evidence: cell_leader_test "A former leader's start...", before: cell_leader_test.cpp:595: FAILED: CHECK( second.takeStarts().empty() ) false cell_leader_test.cpp:597: FAILED: REQUIRE( stops.size() == 1 ) 0 == 1

Why it works: inherited starts count as such that may arrive late, so they go over to the next life, are stopped there, and start elsewhere once its list lacks them.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -41,9 +41,12 @@
                     PooledWorker *const worker = m_pool.find(tasks[index].worker);
                     if (worker == nullptr)
                         continue;
-                    // An earlier leader sent it; with this one's fence it can't arrive any more.
-                    worker->runs.at(task).wasSent = true;
-                    worker->runs.at(task).isSettled = true;
+                    // An earlier leader sent it. Once the worker has seen this one's fence it can't
+                    // arrive there any more, but the worker's next life has seen none.
+                    OpenRun &run = worker->runs.at(task);
+                    run.wasSent = true;
+                    run.isSettled = true;
+                    run.mayArriveLate = true;
                 }
             }
         }
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -579,3 +579,28 @@
     CHECK_FALSE(isRefused(bench.look(jobB), Refusal::NoSuchJob));
     CHECK(bench.leader().book().jobs.size() == 1);
 }
+
+TEST_CASE("A former leader's start that may reach the worker's next life is stopped there first")
+{
+    // Pattern: a leader is lost with an order under way, then the worker starts anew under its
+    // name. The new life has seen no fence, so it takes the order whenever it comes.
+    LeaderBench first;
+    first.configure();
+    first.beat("v");
+    first.submit(jobA, {makeStep(1, 100)});
+    REQUIRE(first.takeStarts().size() == 1);
+    LeaderBench second(first.leader().book());
+    second.beat("w");
+    second.beat("v", 2);
+    CHECK(second.takeStarts().empty());
+    const std::vector<CallWorker> stops = second.takeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].life == makeLife("v", 2));
+    second.answer(stops[0], WorkerVerdict::Done);
+    second.answerHold("v", {});
+    second.answerHold("v", {});
+    second.beat("v", 2);
+    const std::vector<CallWorker> starts = second.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(std::get<OrderStart>(starts[0].order).run == RunNumber(2));
+}
