Keep idle workers' clocks by their heartbeats

Cause: of an idle worker only the first heartbeat's clock was taken in. A lease is granted by that clock plus the leader's own time since, so on a clock that is 2% slow it grows by 20 ms for each idle second. A successor reckons former leases as 3.9 s from its start; after about 40 idle seconds a first start could run longer than that on a worker out of reach, while the task starts elsewhere.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -199,8 +199,7 @@
     worker->isAnnounced = true;
     worker->lastBeat = now;
     worker->lastSequence = call.sequence;
-    if (!worker->clock.has_value())
-        WorkerPool::tellClock(*worker, now, call.clock);
+    WorkerPool::tellClockOfBeat(*worker, now, call.clock);
     for (const WorkerLife &other : replaced)
         m_runs.replaceLife(now, other, life, {}, out);
     answer(origin, taken);
@@ -219,8 +218,7 @@
             continue;
         worker->lastSequence = beat.sequence;
         worker->lastBeat = std::max(worker->lastBeat, now - beat.age);
-        if (!worker->clock.has_value())
-            WorkerPool::tellClock(*worker, now, beat.clock);
+        WorkerPool::tellClockOfBeat(*worker, now - beat.age, beat.clock);
     }
     return unknown;
 }
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -70,6 +70,19 @@
     worker.clockAt = now;
 }
 
+void WorkerPool::tellClockOfBeat(PooledWorker &worker, Instant now, std::int64_t clock)
+{
+    const bool isKnown = worker.clock.has_value();
+    if (!isKnown || (worker.clockAt < now && clock >= leastClock(worker, now)))
+        tellClock(worker, now, clock);
+}
+
+std::int64_t WorkerPool::leastClock(const PooledWorker &worker, Instant now)
+{
+    return *worker.clock + (now - worker.clockAt).value() * SlowestClockPermille / 1000
+            - ClockMargin;
+}
+
 std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now)
 {
     if (!worker.clock.has_value())
@@ -87,9 +100,7 @@
         return false;
     if (worker.grantedUntil == 0)
         return true;
-    const std::int64_t least = *worker.clock
-            + (now - worker.clockAt).value() * SlowestClockPermille / 1000 - ClockMargin;
-    return least > worker.grantedUntil;
+    return leastClock(worker, now) > worker.grantedUntil;
 }
 
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -110,6 +110,9 @@
 
     /** Takes the worker's clock in, as told at \a now. */
     static void tellClock(PooledWorker &worker, Instant now, std::int64_t clock);
+    /** Takes the clock of a heartbeat in, unless it was so long on its way that an earlier word
+     * tells more. */
+    static void tellClockOfBeat(PooledWorker &worker, Instant now, std::int64_t clock);
     /** The end of a lease granted now, on the worker's clock; nothing if its clock is not known. */
     static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now);
     /** True if whatever ran on the worker when it last heard of a leader has certainly ended. */
@@ -118,6 +121,9 @@
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
 
 private:
+    /** What the worker's clock shows at least. Precondition: it is known. */
+    [[nodiscard]] static std::int64_t leastClock(const PooledWorker &worker, Instant now);
+
     Instant m_takenOver;
     std::map<WorkerLife, PooledWorker> m_workers;
     WorkerPace m_usualPace;
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -604,3 +604,27 @@
     REQUIRE(starts.size() == 1);
     CHECK(std::get<OrderStart>(starts[0].order).run == RunNumber(2));
 }
+
+TEST_CASE("A lease is no longer than meant on a slow clock, however long the worker was idle")
+{
+    // Pattern: a permission is reckoned from a clock that was read long ago. A successor counts
+    // former leases by their length, so that a longer one lets a task run twice.
+    constexpr std::int64_t SlowPermille = 980;
+    constexpr std::int64_t IdleMilliseconds = 120'000;
+    constexpr std::int64_t BeatInterval = 1500;
+    constexpr std::int64_t SinceLastBeat = BeatInterval + 50;
+    LeaderBench bench;
+    bench.configure();
+    std::int64_t clock = 1000;
+    bench.beatAt("v", clock);
+    for (std::int64_t passed = 0; passed < IdleMilliseconds; passed += BeatInterval) {
+        bench.pass(BeatInterval);
+        clock += BeatInterval * SlowPermille / 1000;
+        bench.beatAt("v", clock);
+    }
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].leaseUntil - clock
+          <= WorkerPool::LeaseLength.value() + SinceLastBeat * (1000 - SlowPermille) / 1000);
+}
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -84,17 +84,30 @@
     return call(JobCall{verb, "h", "/q/" + id, ApiKey("key-of-alpha"), {}, {}});
 }
 
-void LeaderBench::beat(const std::string &worker, std::int64_t born, bool isDraining)
+WorkerBeat LeaderBench::makeBeat(const std::string &worker, std::int64_t born)
 {
     WorkerBeat beat;
     beat.report.life = makeLife(worker, born);
     beat.report.pool = PoolId("pool");
     beat.report.address = worker + ":1";
-    beat.report.isDraining = isDraining;
     beat.report.capacity.cores = MilliCores(1000);
     beat.report.capacity.memory = Mebibytes(10'000);
     beat.clock = m_now.value();
     beat.sequence = ++m_lastBeat;
+    return beat;
+}
+
+void LeaderBench::beat(const std::string &worker, std::int64_t born, bool isDraining)
+{
+    WorkerBeat beat = makeBeat(worker, born);
+    beat.report.isDraining = isDraining;
+    call(beat);
+}
+
+void LeaderBench::beatAt(const std::string &worker, std::int64_t clock)
+{
+    WorkerBeat beat = makeBeat(worker);
+    beat.clock = clock;
     call(beat);
 }
 
@@ -118,8 +131,14 @@
     const std::optional<CallWorker> hold = takeHold(worker);
     if (!hold.has_value())
         return;
+    answerList(*hold, std::move(running), std::move(ended));
+}
+
+void LeaderBench::answerList(const CallWorker &hold, std::vector<RunListed> running,
+                             std::vector<EndListed> ended)
+{
     WorkerAnswer answer;
-    answer.call = hold->call;
+    answer.call = hold.call;
     answer.verdict = WorkerVerdict::Done;
     answer.clock = m_now.value();
     answer.running = std::move(running);
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -24,11 +24,18 @@
     CallAnswer look(const std::string &id, JobVerb verb = JobVerb::Look);
     /** A worker of 1,000 thousandths of a core sends a beat. */
     void beat(const std::string &worker, std::int64_t born = 1, bool isDraining = false);
+    /** A beat of a worker whose clock shows \a clock. */
+    void beatAt(const std::string &worker, std::int64_t clock);
+    /** The worker's next beat, which has not been sent yet. */
+    WorkerBeat makeBeat(const std::string &worker, std::int64_t born = 1);
     /** The life that began at \a born answers; 0 if the answer does not say which. */
     void answer(const CallWorker &order, WorkerVerdict verdict, std::int64_t born = 0);
     /** Answers the newest question for what runs on the worker. */
     void answerHold(const std::string &worker, std::vector<RunListed> running,
                     std::vector<EndListed> ended = {});
+    /** Answers this question for what runs. */
+    void answerList(const CallWorker &hold, std::vector<RunListed> running,
+                    std::vector<EndListed> ended);
     void pass(std::int64_t milliseconds);
 
     /** Orders of a kind that were not taken from here before. */
