Use no worker again for a late heartbeat after it has left

What callers saw: operators of similar systems report a server that had left and was in use again.

Evidence: cell_leader_test "A late heartbeat of a worker that has left...", before: cell_leader_test.cpp:643: FAILED: CHECK( bench.takeStarts().empty() ) false cell_leader_test.cpp:646: FAILED: CHECK( bench.takeStarts().size() == 1 ) 0 == 1

Why it works: the leader remembers lives that have left for a minute. A successor does not know them: open.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** Heartbeats are held up by partitions, which last for some seconds. */
+constexpr Milliseconds LeftKnownFor{60'000};
 /** Wall clocks jump; no inherited job is taken for older than this. */
 constexpr Milliseconds OldestInherited{60'000};
 
@@ -164,6 +166,10 @@
 {
     const WorkerLife &life = call.report.life;
     const BeatTaken taken{m_options.beatAddress};
+    if (m_left.contains(life)) {
+        answer(origin, taken);
+        return;
+    }
     std::vector<WorkerLife> replaced;
     for (const auto &[other, worker] : m_pool.all()) {
         const bool isSamePlace
@@ -232,17 +238,25 @@
         if (life.worker == call.worker && worker.report.isDraining)
             ended.push_back(life);
     }
-    for (const WorkerLife &life : ended)
+    for (const WorkerLife &life : ended) {
         m_runs.endLife(life, "it left", out);
+        m_left[life] = m_now;
+    }
     answer(origin, CallDone{});
 }
 
+void CellLeader::forgetLeft()
+{
+    std::erase_if(m_left, [&](const auto &entry) { return m_now - entry.second > LeftKnownFor; });
+}
+
 void CellLeader::tick(Instant now, Milliseconds wall, Outbox &out)
 {
     m_now = now;
     m_advice.tick(now, out);
     beginDue(wall);
     forgetEnded();
+    forgetLeft();
     m_runs.tick(now, out);
     // Workers become usable again, and tickets end, by time alone.
     m_planner.noteChange();
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -111,6 +111,7 @@
               Outbox &out);
 
     void beginDue(Milliseconds wall);
+    void forgetLeft();
     void forgetEnded();
     /** When an earlier leader accepted the job, as far as this host's clock can tell. */
     [[nodiscard]] Instant arrivalOf(const Job &job, Milliseconds newest) const;
@@ -130,6 +131,8 @@
     /** Jobs that are over, in the order in which they may be forgotten, and since when. */
     std::deque<std::pair<Instant, JobId>> m_ended;
     std::set<JobId> m_endedNames;
+    /** Lives that have left, and when: a heartbeat that was held up can come after. */
+    std::map<WorkerLife, Instant> m_left;
 };
 
 } // namespace gentiancross
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -628,3 +628,20 @@
     CHECK(starts[0].leaseUntil - clock
           <= WorkerPool::LeaseLength.value() + SinceLastBeat * (1000 - SlowPermille) / 1000);
 }
+
+TEST_CASE("A late heartbeat of a worker that has left does not bring it back")
+{
+    // Pattern: a server that had left was in use again.
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    const WorkerBeat late = bench.makeBeat("w");
+    bench.beat("w", 1, true);
+    bench.call(WorkerLeave{WorkerId("w")});
+    bench.call(late);
+    bench.submit(jobA, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    // Its next life is another worker.
+    bench.beat("w", 2);
+    CHECK(bench.takeStarts().size() == 1);
+}
