Do not wait for answers to orders that a keeper's former process had

Cause: a keeper that ends and is back within 0.6 s never counts as silent.

Evidence: order_dispatcher_test "Orders that a keeper's former process...", before: order_dispatcher_test.cpp:294: FAILED: takeOverdue(leader.now) == {CallId(1)}, { } == { {?} }

Why it works: an open order names the process that got it, and counts as not answered as soon as the keeper introduces itself as another one. The former process may have sent it, so it is not told as unsent.

--- a/control/jobs/order_dispatcher.cpp
+++ b/control/jobs/order_dispatcher.cpp
@@ -104,7 +104,7 @@
             continue;
         }
         const Keeper &keeper = m_keepers.at(*host);
-        m_open.emplace(call->call, Open{*host, now + call->timeout + RelaySlack});
+        m_open.emplace(call->call, Open{*host, keeper.session, now + call->timeout + RelaySlack});
         // The keeper's clock showed `clock` before `clockAt` came to pass here, so this is early.
         call->validUntil = keeper.clock + (call->validUntil - keeper.clockAt);
         batches[*host].session = keeper.session;
@@ -120,7 +120,8 @@
     std::vector<CallId> overdue;
     for (auto open = m_open.begin(); open != m_open.end();) {
         const auto keeper = m_keepers.find(open->second.keeper);
-        const bool isGone = keeper == m_keepers.end() || !isPresent(now, keeper->second);
+        const bool isGone = keeper == m_keepers.end() || !isPresent(now, keeper->second)
+                || keeper->second.session != open->second.session;
         if (!isGone && now < open->second.deadline) {
             ++open;
             continue;
--- a/control/jobs/order_dispatcher.h
+++ b/control/jobs/order_dispatcher.h
@@ -35,7 +35,8 @@
     /** Takes an answer in that a keeper has passed on. False if it came too late to count. A keeper
      * that returns an order unsent is slow to hear or to act, and gets no more for a while. */
     bool answered(Instant now, const WorkerAnswer &answer);
-    /** The orders whose keepers have said nothing for too long; each is returned once. */
+    /** The orders whose keepers have said nothing for too long, or are other processes now; each is
+     * returned once. */
     std::vector<CallId> takeOverdue(Instant now);
     /** Forgets all orders under way; the host does not lead any more. */
     void clear() { m_open.clear(); }
@@ -59,6 +60,8 @@
     struct Open
     {
         HostId keeper;
+        /** The keeper's process that got it; the next one knows nothing of it. */
+        SessionId session;
         Instant deadline;
     };
 
--- a/tests/control/jobs/order_dispatcher_test.cpp
+++ b/tests/control/jobs/order_dispatcher_test.cpp
@@ -20,11 +20,11 @@
 /** A leader's dispatcher with keepers that introduce themselves twice a second. */
 struct Leader
 {
-    void introduce(const std::string &keeper)
+    void introduce(const std::string &keeper, const std::string &session = "first")
     {
         LeaderAsk ask;
         ask.isKeeper = true;
-        ask.session = SessionId("session of " + keeper);
+        ask.session = SessionId(session + " session of " + keeper);
         ask.sentAt = now + ClockOffset;
         dispatcher.keeperIntroduced(now, HostId(keeper), ask);
     }
@@ -271,3 +271,19 @@
     for (const auto &[worker, keeper] : leader.assign(workers))
         CHECK((keeper == "e" || keeper == "f"));
 }
+
+TEST_CASE("Orders that a keeper's former process has are not waited for")
+{
+    // Pattern: a process ends and is back within half a second. Its next process drops the orders,
+    // and the leader waited for answers as if the workers were slow.
+    Leader leader;
+    leader.introduce("k1");
+    leader.dispatch({"w"});
+    CHECK(leader.dispatcher.takeOverdue(leader.now).empty());
+    leader.now = leader.now + Milliseconds(300);
+    leader.introduce("k1", "second");
+    CHECK(leader.dispatcher.takeOverdue(leader.now) == std::vector<CallId>{CallId(1)});
+    CHECK_FALSE(leader.answer(1));
+    leader.dispatch({"w"});
+    CHECK(leader.dispatcher.takeOverdue(leader.now).empty());
+}
