Send answers to a former leader's own orders to nobody

Cause: a host that led and called workers itself passed their answers on as a delegate once it had lost its place, to a host without a name, for which a link and a thread were made.

Evidence: order_dispatcher_test "A host that led a moment ago...", before: order_dispatcher_test.cpp:208: FAILED: CHECK( out.take().empty() ) false

--- a/control/jobs/order_delegate.cpp
+++ b/control/jobs/order_delegate.cpp
@@ -31,6 +31,9 @@
 
 void OrderDelegate::receive(Instant now, const WorkerAnswer &answer, Outbox &out)
 {
+    // A host that led a moment ago gets answers to orders of its own.
+    if (m_leader == HostId())
+        return;
     m_collected.answers.push_back(answer);
     if (now - m_lastFlush >= BatchInterval)
         flush(now, out);
--- a/tests/control/jobs/order_dispatcher_test.cpp
+++ b/tests/control/jobs/order_dispatcher_test.cpp
@@ -199,6 +199,15 @@
         CHECK(std::holds_alternative<LogLine>(effect));
 }
 
+TEST_CASE("A host that led a moment ago sends answers to its own orders to nobody")
+{
+    Outbox out(false);
+    OrderDelegate delegate{SessionId("now")};
+    delegate.receive(Instant(1'000'000), WorkerAnswer(), out);
+    delegate.flush(Instant(1'000'100), out);
+    CHECK(out.take().empty());
+}
+
 TEST_CASE("Answers that come close together go back to the leader in one message")
 {
     Leader leader;
