Believe no former leader whose word was overtaken

Cause: `LeaderTold` names no term. The word of a leader that stood still, sent when it goes on, took callers' calls away from its successor until the next round of questions; each waited for its resend, 1.1 s.

Evidence: cell_root_test "A former leader's late word...", before: cell_root_test.cpp:426: FAILED: CHECK( asked == "k2" ) "k1" == "k2"

Why it works: the message carries the term, and one of a lower term than a leader has told before is not believed.

--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -92,6 +92,10 @@
             introduce(now, *message.leader, out);
         return;
     }
+    // The word of a former leader can be overtaken on its way.
+    if (message.term < m_leaderTerm)
+        return;
+    m_leaderTerm = message.term;
     const bool isNew = m_leader != from;
     m_leader = from;
     m_leaderHeard = now;
--- a/control/jobs/call_relay.h
+++ b/control/jobs/call_relay.h
@@ -66,6 +66,8 @@
     LeaderAsk m_introduction;
     std::set<HostId> m_keepers;
     std::optional<HostId> m_leader;
+    /** The newest term in which a leader has said that it decides. */
+    Term m_leaderTerm;
     Instant m_leaderHeard;
     Instant m_nextAsk;
     Instant m_nextRound;
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -298,6 +298,7 @@
     LeaderTold told;
     told.leader = m_agreement->leader();
     told.decides = m_leader != nullptr && isConfirmed();
+    told.term = m_agreement->term();
     if (!m_agreement->isLeader())
         told.leaderAge = m_now - m_agreement->lastContact();
     for (const auto &[host, info] : m_options.directory.hosts)
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -219,11 +219,13 @@
     std::vector<HostId> keepers;
     /** How long ago the sender heard from the leader, if it follows one. */
     std::optional<Milliseconds> leaderAge;
+    /** The log's term as the sender knows it. */
+    Term term;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.leader, self.decides, self.keepers, self.leaderAge);
+        return std::tie(self.leader, self.decides, self.keepers, self.leaderAge, self.term);
     }
 };
 
--- a/tests/control/jobs/cell_root_test.cpp
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -380,3 +380,23 @@
     cut.askedFor(1500, LeaderTold{HostId("k1"), false, {}, Milliseconds(5000)});
     CHECK(cut.askedFor(1000, std::nullopt)["k1"] > 1);
 }
+
+TEST_CASE("A former leader's late word does not take calls away from its successor")
+{
+    // Pattern: a leader stands still with its word under way, which arrives after the next
+    // leader's.
+    EntryHost host("a");
+    const auto told = [](const char *leader, std::uint64_t term) {
+        return PeerMessageReceived{HostId(leader),
+                                   LeaderTold{HostId(leader), true, {}, {}, Term(term)}, 0};
+    };
+    host.give(told("k2", 5));
+    host.give(told("k1", 4));
+    std::string asked;
+    for (const Effect &effect :
+         host.give(CellCallReceived{ExchangeId(1), makeLook(7), Milliseconds(3000)})) {
+        if (const auto *message = std::get_if<SendToPeer>(&effect))
+            asked = message->to.value();
+    }
+    CHECK(asked == "k2");
+}
