Show that a successor notes an end that must not be noted

Fault, not mended: a job is forgotten 150 s after its end, and with it that a later run was ordered.

--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -708,3 +708,34 @@
     }
     CHECK(stateOf(bench.look(jobB)) == JobState::Completed);
 }
+
+TEST_CASE("An end that must not be noted is not noted by a successor either, minutes later")
+{
+    // Pattern: the job is forgotten some time after its end, and with it that a later run was
+    // ordered; the worker still lists the end.
+    LeaderBench first;
+    first.configure();
+    first.pass(8000);
+    first.beat("v");
+    first.submit(jobA, {makeStep(1, 100)});
+    first.answer(first.takeStarts().at(0), WorkerVerdict::Done);
+    first.pass(200);
+    const std::vector<CallWorker> elsewhere = startElsewhere(first, "v", "w");
+    REQUIRE(elsewhere.size() == 1);
+    first.answer(elsewhere[0], WorkerVerdict::Done);
+    first.pass(1000);
+    const EndListed late = ended(4, jobA, 0, 1, RunEnding::Done);
+    first.answerHold("v", {}, {late});
+    first.answerHold("w", {}, {ended(1, jobA, 0, 2, RunEnding::Done)});
+    REQUIRE(stateOf(first.look(jobA)) == JobState::Completed);
+    for (std::int64_t passed = 0; passed < DefaultJobRetention + 2000; passed += 1000) {
+        first.beat("v");
+        first.pass(1000);
+    }
+    REQUIRE(isRefused(first.look(jobA), Refusal::NoSuchJob));
+    LeaderBench second(first.leader().book());
+    second.beat("v");
+    occupy(second, "v");
+    second.answerHold("v", {}, {late});
+    CHECK(notedOf(second, "v") < EndNumber(4));
+}
