Show that a voter that starts again elects a leader beside the former one

Fault, not mended: a leader acts for 0.5 s after a message that a quorum has answered, since no voter helps elect another within 0.6 s of hearing it. A voter that starts again has forgotten that it did, and stands after 0.15 s.

--- a/tests/control/jobs/cell_root_test.cpp
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -300,6 +300,31 @@
     CHECK(cell.knows("e2", Jobs));
 }
 
+TEST_CASE("A leader that nobody hears answers no reads once another one may have decided")
+{
+    // Pattern: around a hand-over two processes acted for a moment. A voter that starts again has
+    // forgotten when it heard of its leader.
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Cell cell(3, seed);
+        const std::optional<std::string> leader = cell.group.leader();
+        REQUIRE(leader.has_value());
+        std::vector<std::string> others = {"k1", "k2", "k3"};
+        std::erase(others, *leader);
+        cell.group.partition({{others[1]}});
+        cell.group.pass(1000);
+        cell.group.crash(others[0]);
+        cell.group.partition({{*leader}});
+        cell.group.restart(others[0]);
+        const ExchangeId put = cell.group.call(others[1], makePut(5));
+        for (int step = 0; step < 100 && !isDone(cell.group.answer(put)); ++step)
+            cell.group.pass(10);
+        if (!isDone(cell.group.answer(put)))
+            continue;
+        const ExchangeId get = cell.group.call(*leader, GetDocument{});
+        CHECK(sourceOf(cell.group.answer(get)) != "version 1");
+    }
+}
+
 namespace {
 
 /** An entry host's reducer whose messages a test answers. */
