--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -43,10 +43,13 @@
                     PooledWorker *const worker = m_pool.find(tasks[index].worker);
                     if (worker == nullptr)
                         continue;
-                    // An earlier leader sent it; with this one's fence it can't arrive any more.
-                    worker->runs.at(task).wasSent = true;
-                    worker->runs.at(task).isInherited = true;
-                    worker->runs.at(task).isSettled = true;
+                    // An earlier leader sent it. Once the worker has seen this one's fence it can't
+                    // arrive there any more, but the worker's next life has seen none.
+                    OpenRun &run = worker->runs.at(task);
+                    run.wasSent = true;
+                    run.isInherited = true;
+                    run.isSettled = true;
+                    run.mayArriveLate = true;
                 }
             }
         }
@@ -208,8 +211,7 @@
     worker->isAnnounced = true;
     worker->lastBeat = now;
     worker->lastSequence = call.sequence;
-    if (!worker->clock.has_value())
-        WorkerPool::tellClock(*worker, now, call.clock);
+    WorkerPool::tellClockOfBeat(*worker, now, call.clock);
     for (const WorkerLife &other : replaced)
         m_runs.replaceLife(now, other, life, {}, out);
     answer(origin, taken);
@@ -233,9 +235,9 @@
         if (beat.sequence <= worker->lastSequence)
             continue;
         worker->lastSequence = beat.sequence;
-        worker->lastBeat = std::max(worker->lastBeat, now - std::max(beat.age, Milliseconds(0)));
-        if (!worker->clock.has_value())
-            WorkerPool::tellClock(*worker, now, beat.clock);
+        const Instant sentAt = now - std::max(beat.age, Milliseconds(0));
+        worker->lastBeat = std::max(worker->lastBeat, sentAt);
+        WorkerPool::tellClockOfBeat(*worker, sentAt, beat.clock);
     }
     return unknown;
 }
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -579,3 +579,163 @@
     CHECK_FALSE(isRefused(bench.look(jobB), Refusal::NoSuchJob));
     CHECK(bench.leader().book().jobs.size() == 1);
 }
+
+TEST_CASE("A former leader's start that may reach the worker's next life is stopped there first")
+{
+    // Pattern: a leader is lost with an order under way, then the worker starts anew under its
+    // name. The new life has seen no fence, so it takes the order whenever it comes.
+    LeaderBench first;
+    first.configure();
+    first.beat("v");
+    first.submit(jobA, {makeStep(1, 100)});
+    REQUIRE(first.takeStarts().size() == 1);
+    LeaderBench second(first.leader().book());
+    second.beat("w");
+    second.beat("v", 2);
+    CHECK(second.takeStarts().empty());
+    const std::vector<CallWorker> stops = second.takeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].life == makeLife("v", 2));
+    second.answer(stops[0], WorkerVerdict::Done);
+    second.answerHold("v", {});
+    second.answerHold("v", {});
+    second.beat("v", 2);
+    const std::vector<CallWorker> starts = second.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(std::get<OrderStart>(starts[0].order).run == RunNumber(2));
+}
+
+TEST_CASE("A lease is no longer than meant on a slow clock, however long the worker was idle")
+{
+    // Pattern: a permission is reckoned from a clock that was read long ago. A successor counts
+    // former leases by their length, so that a longer one lets a task run twice.
+    constexpr std::int64_t SlowPermille = 980;
+    constexpr std::int64_t IdleMilliseconds = 120'000;
+    constexpr std::int64_t BeatInterval = 1500;
+    constexpr std::int64_t SinceLastBeat = BeatInterval + 50;
+    LeaderBench bench;
+    bench.configure();
+    std::int64_t clock = 1000;
+    bench.beatAt("v", clock);
+    for (std::int64_t passed = 0; passed < IdleMilliseconds; passed += BeatInterval) {
+        bench.pass(BeatInterval);
+        clock += BeatInterval * SlowPermille / 1000;
+        bench.beatAt("v", clock);
+    }
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].leaseUntil - clock
+          <= WorkerPool::LeaseLength.value() + SinceLastBeat * (1000 - SlowPermille) / 1000);
+}
+
+TEST_CASE("A late heartbeat of a worker that has left does not bring it back")
+{
+    // Pattern: a server that had left was in use again.
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("w");
+    const WorkerBeat late = bench.makeBeat("w");
+    bench.beat("w", 1, true);
+    bench.call(WorkerLeave{WorkerId("w")});
+    bench.call(late);
+    bench.submit(jobA, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    // Its next life is another worker.
+    bench.beat("w", 2);
+    CHECK(bench.takeStarts().size() == 1);
+}
+
+namespace {
+
+/** A worker's ends as its lists have them: those that were not noted, the oldest first. */
+struct EndBook
+{
+    void add(const JobTaskRef &task, RunNumber run, RunEnding ending)
+    {
+        ends.push_back({EndNumber(ends.size() + 1), task, run, ending, {}});
+    }
+
+    [[nodiscard]] std::vector<EndListed> list(EndNumber noted) const
+    {
+        constexpr std::size_t MostListed = 500;
+        std::vector<EndListed> listed;
+        for (const EndListed &end : ends) {
+            if (noted < end.number && listed.size() < MostListed)
+                listed.push_back(end);
+        }
+        return listed;
+    }
+
+    std::vector<EndListed> ends;
+};
+
+} // namespace
+
+TEST_CASE("A worker with an end that must not be noted goes on telling of hundreds of later ones")
+{
+    // Pattern: a leader that could not keep up took a run for lapsed; minutes later its worker's
+    // list is full of ends that were taken in but not noted, and lacks the newest.
+    constexpr std::uint32_t Tasks = 700;
+    LeaderBench bench;
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(jobA, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.pass(200);
+    const std::vector<CallWorker> elsewhere = startElsewhere(bench, "v", "w");
+    REQUIRE(elsewhere.size() == 1);
+    bench.answer(elsewhere[0], WorkerVerdict::Done);
+    EndBook book;
+    book.add(makeTask(jobA, 0, 0), RunNumber(1), RunEnding::Done);
+    bench.pass(4000); // The other worker says nothing more and is not used.
+    bench.answerHold("v", {}, book.list(EndNumber()));
+    bench.beat("v");
+    bench.submit(jobB, {makeStep(Tasks, 100)});
+    for (std::uint32_t turn = 0; turn < Tasks; ++turn) {
+        for (const CallWorker &start : bench.takeStarts()) {
+            const auto &order = std::get<OrderStart>(start.order);
+            bench.answer(start, WorkerVerdict::Done);
+            book.add(order.task, order.run, RunEnding::Done);
+        }
+        bench.beat("v");
+        bench.pass(400);
+        while (const std::optional<CallWorker> hold = bench.takeHold("v"))
+            bench.answerList(*hold, {}, book.list(std::get<OrderHold>(hold->order).noted));
+        if (stateOf(bench.look(jobB)) == JobState::Completed)
+            break;
+    }
+    CHECK(stateOf(bench.look(jobB)) == JobState::Completed);
+}
+
+TEST_CASE("An end that must not be noted is not noted by a successor either, minutes later")
+{
+    // Pattern: the job is forgotten some time after its end, and with it that a later run was
+    // ordered; the worker still lists the end.
+    LeaderBench first;
+    first.configure();
+    first.pass(8000);
+    first.beat("v");
+    first.submit(jobA, {makeStep(1, 100)});
+    first.answer(first.takeStarts().at(0), WorkerVerdict::Done);
+    first.pass(200);
+    const std::vector<CallWorker> elsewhere = startElsewhere(first, "v", "w");
+    REQUIRE(elsewhere.size() == 1);
+    first.answer(elsewhere[0], WorkerVerdict::Done);
+    first.pass(1000);
+    const EndListed late = ended(4, jobA, 0, 1, RunEnding::Done);
+    first.answerHold("v", {}, {late});
+    first.answerHold("w", {}, {ended(1, jobA, 0, 2, RunEnding::Done)});
+    REQUIRE(stateOf(first.look(jobA)) == JobState::Completed);
+    for (std::int64_t passed = 0; passed < DefaultJobRetention + 2000; passed += 1000) {
+        first.beat("v");
+        first.pass(1000);
+    }
+    REQUIRE(isRefused(first.look(jobA), Refusal::NoSuchJob));
+    LeaderBench second(first.leader().book());
+    second.beat("v");
+    occupy(second, "v");
+    second.answerHold("v", {}, {late});
+    CHECK(notedOf(second, "v") < EndNumber(4));
+}
--- a/tests/control/jobs/cell_root_test.cpp
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -300,6 +300,31 @@
     CHECK(cell.knows("e2", Jobs));
 }
 
+TEST_CASE("A leader that nobody hears answers no reads once another one may have decided")
+{
+    // Pattern: around a hand-over two processes acted for a moment. A voter that starts again has
+    // forgotten when it heard of its leader.
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Cell cell(3, seed);
+        const std::optional<std::string> leader = cell.group.leader();
+        REQUIRE(leader.has_value());
+        std::vector<std::string> others = {"k1", "k2", "k3"};
+        std::erase(others, *leader);
+        cell.group.partition({{others[1]}});
+        cell.group.pass(1000);
+        cell.group.crash(others[0]);
+        cell.group.partition({{*leader}});
+        cell.group.restart(others[0]);
+        const ExchangeId put = cell.group.call(others[1], makePut(5));
+        for (int step = 0; step < 100 && !isDone(cell.group.answer(put)); ++step)
+            cell.group.pass(10);
+        if (!isDone(cell.group.answer(put)))
+            continue;
+        const ExchangeId get = cell.group.call(*leader, GetDocument{});
+        CHECK(sourceOf(cell.group.answer(get)) != "version 1");
+    }
+}
+
 namespace {
 
 /** An entry host's reducer whose messages a test answers. */
@@ -380,3 +405,23 @@
     cut.askedFor(1500, LeaderTold{HostId("k1"), false, {}, Milliseconds(5000)});
     CHECK(cut.askedFor(1000, std::nullopt)["k1"] > 1);
 }
+
+TEST_CASE("A former leader's late word does not take calls away from its successor")
+{
+    // Pattern: a leader stands still with its word under way, which arrives after the next
+    // leader's.
+    EntryHost host("a");
+    const auto told = [](const char *leader, std::uint64_t term) {
+        return PeerMessageReceived{HostId(leader),
+                                   LeaderTold{HostId(leader), true, {}, {}, Term(term)}, 0};
+    };
+    host.give(told("k2", 5));
+    host.give(told("k1", 4));
+    std::string asked;
+    for (const Effect &effect :
+         host.give(CellCallReceived{ExchangeId(1), makeLook(7), Milliseconds(3000)})) {
+        if (const auto *message = std::get_if<SendToPeer>(&effect))
+            asked = message->to.value();
+    }
+    CHECK(asked == "k2");
+}
