--- /dev/null
+++ b/control/jobs/end_recorder.cpp
@@ -0,0 +1,97 @@
+#include "control/jobs/end_recorder.h"
+
+#include "control/jobs/run_names.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace gentiancross {
+
+namespace {
+
+/** A worker that fails runs of so many jobs in a row gets no more for a while; one run in fifty
+ * fails on sound workers. */
+constexpr std::uint32_t FailuresInRow = 3;
+constexpr Milliseconds FailingPause{4000};
+
+} // namespace
+
+EndRecorder::EndRecorder(const JobBookData &book, WorkerPool &pool, RunSink &sink)
+    : m_book(book)
+    , m_pool(pool)
+    , m_sink(sink)
+{}
+
+void EndRecorder::take(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
+                       Outbox &out)
+{
+    const WorkerLife life = worker.report.life;
+    for (const EndListed &end : ended) {
+        if (end.number <= worker.recorded)
+            continue;
+        worker.recorded = end.number;
+        out.note(end.task.step.job.value(),
+                 absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
+                              " worker=", life.worker.value(), " how=", nameOf(end.ending)));
+        if (end.ending == RunEnding::Done) {
+            notePace(now, worker, end);
+            worker.failuresInRow = 0;
+        } else if (end.ending == RunEnding::Failed) {
+            noteFailure(now, worker, end.task.step.job, out);
+        }
+        noteWhetherNotable(worker, end, out);
+        m_sink.apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
+        if (!worker.hasUnnotableEnd) {
+            worker.notable = end.number;
+            m_sink.endsRecorded(life, end.number);
+        }
+    }
+}
+
+void EndRecorder::noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out)
+{
+    // Everything that ran was killed after the ends before this one, so none of them was in time.
+    if (end.ending == RunEnding::Lapsed)
+        worker.hasUnnotableEnd = false;
+    const TaskProgress *const progress = jobbook::find(m_book, end.task);
+    const bool counts = end.ending == RunEnding::Done || end.ending == RunEnding::Failed;
+    if (!counts || worker.hasUnnotableEnd || progress == nullptr || progress->lastRun <= end.run)
+        return;
+    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
+    if (step.isLasting)
+        return;
+    worker.hasUnnotableEnd = true;
+    out.add(LogLine{true, end.task.step.job.value(),
+                    absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
+                                 " worker=", worker.report.life.worker.value(),
+                                 " a later run was ordered: run=", progress->lastRun.value())});
+}
+
+void EndRecorder::noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
+{
+    if (worker.lastFailed == job && worker.failuresInRow > 0)
+        return;
+    worker.lastFailed = job;
+    if (++worker.failuresInRow < FailuresInRow)
+        return;
+    worker.avoidUntil = now + FailingPause;
+    out.add(LogLine{true, worker.report.life.worker.value(),
+                    absl::StrCat("avoided for a while: runs of jobs that failed in a row=",
+                                 worker.failuresInRow)});
+}
+
+void EndRecorder::notePace(Instant now, PooledWorker &worker, const EndListed &end)
+{
+    const auto run = worker.runs.find(end.task);
+    if (run == worker.runs.end() || run->second.run != end.run
+        || !run->second.startedAt.has_value())
+        return;
+    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
+    // Best-effort runs take as long as others let them.
+    if (step.estimate <= Milliseconds(0) || step.isBestEffort || step.isLasting)
+        return;
+    const Milliseconds taken = now - *run->second.startedAt;
+    worker.pace.note(taken, step.estimate);
+    m_pool.usualPace().note(taken, step.estimate);
+}
+
+} // namespace gentiancross
--- /dev/null
+++ b/control/jobs/end_recorder.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "control/jobs/job_book.h"
+#include "control/jobs/run_sink.h"
+#include "control/jobs/worker_pool.h"
+#include "control/outbox.h"
+
+#include <vector>
+
+namespace gentiancross {
+
+/**
+ * Takes in the ends that workers list, and tells which of them the worker may forget.
+ * Thread safety: owned by the control thread.
+ */
+class EndRecorder
+{
+public:
+    /** All must outlive this object. */
+    EndRecorder(const JobBookData &book, WorkerPool &pool, RunSink &sink);
+
+    /** Takes in what of \a ended is new; the list is the worker's, oldest first. */
+    void take(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended, Outbox &out);
+
+private:
+    /** An end that was listed only after a later run was ordered must not be noted: the later run
+     * would be a start after an end that counts. */
+    void noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out);
+    static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
+    void notePace(Instant now, PooledWorker &worker, const EndListed &end);
+
+    const JobBookData &m_book;
+    WorkerPool &m_pool;
+    RunSink &m_sink;
+};
+
+} // namespace gentiancross
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/run_desk.h"
 
+#include "control/jobs/run_names.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -20,47 +22,14 @@
 constexpr Milliseconds StopPause{400};
 /** How often a run that is at work is looked at: a cancelled job's runs are stopped this late. */
 constexpr Milliseconds SettledPause{200};
-/** A worker that fails runs of so many jobs in a row gets no more for a while; one run in fifty
- * fails on sound workers. */
-constexpr std::uint32_t FailuresInRow = 3;
 /** So many orders in a row without an answer, and the worker gets no new ones. */
 constexpr std::uint32_t SilentOrders = 2;
-constexpr Milliseconds FailingPause{4000};
 constexpr Milliseconds RefusedPause{600};
 /** A worker lists its oldest ends first, so many at a time; a longer list may lack newer ones. */
 constexpr std::size_t MostEndsListed = 500;
 /** A worker that has ends which must not be noted answers at once; it is asked this often. */
 constexpr Milliseconds UnnotedPause{300};
 
-std::string nameOf(const JobTaskRef &task)
-{
-    return absl::StrCat(task.step.job.value(), ".", task.step.occurrence, ".", task.step.step, ".",
-                        task.index);
-}
-
-const char *nameOf(RunEnding ending)
-{
-    switch (ending) {
-    case RunEnding::Done:
-        return "done";
-    case RunEnding::Failed:
-        return "failed";
-    case RunEnding::Stopped:
-        return "stopped";
-    case RunEnding::Lapsed:
-        return "lease lapsed";
-    case RunEnding::Broken:
-        return "gang broken";
-    case RunEnding::Alone:
-        return "gang incomplete";
-    case RunEnding::NotStarted:
-        return "not started";
-    case RunEnding::Lost:
-        return "lost";
-    }
-    return "";
-}
-
 } // namespace
 
 RunDesk::RunDesk(Fence fence, const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
@@ -70,6 +39,7 @@
     , m_pool(pool)
     , m_advice(advice)
     , m_sink(sink)
+    , m_ends(book, pool, sink)
     , m_lastCall(fence.value() << NumberBitsOfLeader)
 {}
 
@@ -297,85 +267,12 @@
     worker.nextHold = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : retryPause);
     if (answer.verdict != WorkerVerdict::Done)
         return;
-    takeEnds(now, worker, answer.ended, out);
+    m_ends.take(now, worker, answer.ended, out);
     if (worker.hasUnnotableEnd)
         worker.nextHold = now + UnnotedPause;
     takeRunning(now, worker, call, answer, out);
 }
 
-void RunDesk::takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
-                       Outbox &out)
-{
-    const WorkerLife life = worker.report.life;
-    for (const EndListed &end : ended) {
-        if (end.number <= worker.recorded)
-            continue;
-        worker.recorded = end.number;
-        out.note(end.task.step.job.value(),
-                 absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
-                              " worker=", life.worker.value(), " how=", nameOf(end.ending)));
-        if (end.ending == RunEnding::Done) {
-            notePace(now, worker, end);
-            worker.failuresInRow = 0;
-        } else if (end.ending == RunEnding::Failed) {
-            noteFailure(now, worker, end.task.step.job, out);
-        }
-        noteWhetherNotable(worker, end, out);
-        m_sink.apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
-        if (!worker.hasUnnotableEnd) {
-            worker.notable = end.number;
-            m_sink.endsRecorded(life, end.number);
-        }
-    }
-}
-
-void RunDesk::noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out)
-{
-    // Everything that ran was killed after the ends before this one, so none of them was in time.
-    if (end.ending == RunEnding::Lapsed)
-        worker.hasUnnotableEnd = false;
-    const TaskProgress *const progress = jobbook::find(m_book, end.task);
-    const bool counts = end.ending == RunEnding::Done || end.ending == RunEnding::Failed;
-    if (!counts || worker.hasUnnotableEnd || progress == nullptr || progress->lastRun <= end.run)
-        return;
-    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
-    if (step.isLasting)
-        return;
-    worker.hasUnnotableEnd = true;
-    out.add(LogLine{true, end.task.step.job.value(),
-                    absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
-                                 " worker=", worker.report.life.worker.value(),
-                                 " a later run was ordered: run=", progress->lastRun.value())});
-}
-
-void RunDesk::noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
-{
-    if (worker.lastFailed == job && worker.failuresInRow > 0)
-        return;
-    worker.lastFailed = job;
-    if (++worker.failuresInRow < FailuresInRow)
-        return;
-    worker.avoidUntil = now + FailingPause;
-    out.add(LogLine{true, worker.report.life.worker.value(),
-                    absl::StrCat("avoided for a while: runs of jobs that failed in a row=",
-                                 worker.failuresInRow)});
-}
-
-void RunDesk::notePace(Instant now, PooledWorker &worker, const EndListed &end)
-{
-    const auto run = worker.runs.find(end.task);
-    if (run == worker.runs.end() || run->second.run != end.run
-        || !run->second.startedAt.has_value())
-        return;
-    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
-    // Best-effort runs take as long as others let them.
-    if (step.estimate <= Milliseconds(0) || step.isBestEffort || step.isLasting)
-        return;
-    const Milliseconds taken = now - *run->second.startedAt;
-    worker.pace.note(taken, step.estimate);
-    m_pool.usualPace().note(taken, step.estimate);
-}
-
 void RunDesk::takeRunning(Instant now, PooledWorker &worker, const Call &call,
                           const WorkerAnswer &answer, Outbox &out)
 {
--- a/control/jobs/run_desk.h
+++ b/control/jobs/run_desk.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "control/jobs/advice_desk.h"
+#include "control/jobs/end_recorder.h"
 #include "control/jobs/job_book.h"
+#include "control/jobs/run_sink.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
 
@@ -15,21 +17,6 @@
  * an earlier one may still come. */
 constexpr int NumberBitsOfLeader = 32;
 
-/** Takes what the orders to workers bring about. */
-class RunSink
-{
-public:
-    RunSink() = default;
-    RunSink(const RunSink &) = delete;
-    RunSink &operator=(const RunSink &) = delete;
-    virtual ~RunSink() = default;
-
-    /** Changes the book, and the log with the next entry. */
-    virtual void apply(JobRecord record) = 0;
-    /** All ends up to \a number were applied; the worker may forget them once they are durable. */
-    virtual void endsRecorded(const WorkerLife &life, EndNumber number) = 0;
-};
-
 /**
  * Follows the runs on workers: orders starts and stops until they are answered, renews leases,
  * takes ends in, and finds out which runs are lost. Thread safety: owned by the control thread.
@@ -88,13 +75,6 @@
     void startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
     void stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer);
     void holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
-    void takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
-                  Outbox &out);
-    /** An end that was listed only after a later run was ordered must not be noted: the later run
-     * would be a start after an end that counts. */
-    void noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out);
-    static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
-    void notePace(Instant now, PooledWorker &worker, const EndListed &end);
     void takeRunning(Instant now, PooledWorker &worker, const Call &call,
                      const WorkerAnswer &answer, Outbox &out);
     void endRuns(const WorkerLife &life, RunEnding ending, Outbox &out);
@@ -112,6 +92,7 @@
     WorkerPool &m_pool;
     AdviceDesk &m_advice;
     RunSink &m_sink;
+    EndRecorder m_ends;
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall;
 };
--- /dev/null
+++ b/control/jobs/run_sink.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/job_records.h"
+
+namespace gentiancross {
+
+/** Takes what the orders to workers bring about. */
+class RunSink
+{
+public:
+    RunSink() = default;
+    RunSink(const RunSink &) = delete;
+    RunSink &operator=(const RunSink &) = delete;
+    virtual ~RunSink() = default;
+
+    /** Changes the book, and the log with the next entry. */
+    virtual void apply(JobRecord record) = 0;
+    /** All ends up to \a number were applied; the worker may forget them once they are durable. */
+    virtual void endsRecorded(const WorkerLife &life, EndNumber number) = 0;
+};
+
+} // namespace gentiancross
