Let a worker with a late end lapse once, so that its ends are noted again

What callers saw: jobs that never end, once a worker had been cut off while idle. Cause: an end that must not be noted kept all later ends of that worker's life from being noted. A worker lists 500 ends at most, oldest first; after 500 more ends the leader saw no newer ones, and runs there stayed open for ever. Change: such a worker takes one run at a time, not lasting and of no gang, with a lease of half its estimate that is not renewed. Once one is killed by the lapse, the `lapsed` end proves that the ends before it are of an earlier lease, so they may be noted. A worker with 400 ends in its list gets no more runs. Lasting work that is there keeps its lease as long as the list is shorter. Not taken: the worker's clock as the only proof.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -87,6 +87,7 @@
     run.full = step.each;
     run.hasTailTarget = step.isLasting && step.tailTarget > Milliseconds(0);
     run.isBestEffort = step.isBestEffort;
+    run.isLasting = step.isLasting;
     WorkerPool::open(*worker, task, std::move(run));
 }
 
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -376,8 +376,8 @@
     }
     CallWorker effect
             = callTo(now, worker, OrderHold{worker.noted, waits ? HoldWait : Milliseconds(0)});
-    // A worker that does not answer is granted nothing more, or its lease would never be over.
-    effect.leaseUntil = worker.isFailing ? 0 : WorkerPool::grant(worker, now).value_or(0);
+    effect.leaseUntil
+            = WorkerPool::mayRenew(worker) ? WorkerPool::grant(worker, now).value_or(0) : 0;
     effect.timeout = OrderTimeout + (waits ? HoldWait : Milliseconds(0));
     call.leaseUntil = effect.leaseUntil;
     m_calls.emplace(effect.call, std::move(call));
@@ -404,11 +404,12 @@
     // A repetition extends no lease: of a worker that does not answer it would never be over.
     const bool isRepetition = run.startedAt.has_value() && worker.grantedUntil > 0;
     run.wasSent = true;
+    const Job &job = m_book.jobs.at(task.step.job);
+    const Milliseconds length = WorkerPool::leaseLength(worker, job.spec.steps.at(task.step.step));
     const std::optional<std::int64_t> until
-            = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now);
+            = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now, length);
     if (!until.has_value())
         return;
-    const Job &job = m_book.jobs.at(task.step.job);
     CallWorker effect = callTo(now, worker,
                                OrderStart{task, run.run,
                                           std::make_shared<const std::string>(job.spec.payload),
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -87,6 +87,8 @@
         return false;
     if (step.isBestEffort && worker.tailTargets > 0)
         return false;
+    if (worker.hasUnnotableEnd && !WorkerPool::mayLapseOn(worker, step))
+        return false;
     const std::vector<std::string> &labels = worker.report.labels;
     if (!step.requiredLabel.empty()
         && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -16,6 +16,12 @@
 /** A former leader may have granted leases for this long after its last contact with a quorum. */
 constexpr Milliseconds FormerLeaderMargin{800};
 
+/** A list of 500 ends may lack newer ones. */
+constexpr std::uint64_t MostEndsKept = 400;
+/** A lease that is to lapse: time for the start to arrive, and for little work to be lost. */
+constexpr Milliseconds ShortestLease{100};
+constexpr Milliseconds LongestLapsingLease{600};
+
 } // namespace
 
 PooledWorker &WorkerPool::put(Instant now, const WorkerReport &report)
@@ -70,11 +76,12 @@
     worker.clockAt = now;
 }
 
-std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now)
+std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now,
+                                              Milliseconds length)
 {
     if (!worker.clock.has_value())
         return std::nullopt;
-    const std::int64_t until = *worker.clock + (now - worker.clockAt).value() + LeaseLength.value();
+    const std::int64_t until = *worker.clock + (now - worker.clockAt).value() + length.value();
     worker.grantedUntil = std::max(worker.grantedUntil, until);
     return worker.grantedUntil;
 }
@@ -92,6 +99,31 @@
     return least > worker.grantedUntil;
 }
 
+bool WorkerPool::mayRenew(const PooledWorker &worker)
+{
+    // The lease of a worker that does not answer would never be over.
+    if (worker.isFailing)
+        return false;
+    if (!worker.hasUnnotableEnd)
+        return true;
+    const bool hasLasting = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                        [](const auto &entry) { return entry.second.isLasting; });
+    return hasLasting && worker.endsKept() < MostEndsKept;
+}
+
+Milliseconds WorkerPool::leaseLength(const PooledWorker &worker, const StepSpec &step)
+{
+    if (!worker.hasUnnotableEnd || step.isLasting)
+        return LeaseLength;
+    return std::clamp(step.estimate / 2, ShortestLease, LongestLapsingLease);
+}
+
+bool WorkerPool::mayLapseOn(const PooledWorker &worker, const StepSpec &step)
+{
+    return worker.runs.empty() && worker.endsKept() < MostEndsKept && !step.isLasting
+            && !step.isGang;
+}
+
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
     return worker.isAnnounced && !worker.report.isDraining && !worker.isFailing
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -19,6 +19,8 @@
     Resources full;
     bool hasTailTarget = false;
     bool isBestEffort = false;
+    /** It has no end of its own. */
+    bool isLasting = false;
     /** Its order is durable and was sent, by this leader or an earlier one. */
     bool wasSent = false;
     /** The worker has answered an order about it, so a list without it is proof that it ended. */
@@ -60,7 +62,8 @@
     /** The newest end that the worker may forget once it is durable. */
     EndNumber notable;
     EndNumber noted;
-    /** True if the worker has listed an end after `notable` that it must not forget. */
+    /** True if the worker has listed an end after `notable` that it must not forget. It gets short
+     * leases until one of them lapses while something runs, which ends this. */
     bool hasUnnotableEnd = false;
     bool isHoldInFlight = false;
     Instant nextHold;
@@ -75,6 +78,8 @@
     Instant avoidUntil;
     WorkerPace pace;
 
+    /** How many ends the worker lists again and again. */
+    [[nodiscard]] std::uint64_t endsKept() const { return recorded.value() - noted.value(); }
     [[nodiscard]] Resources room() const
     {
         Resources room = report.capacity;
@@ -111,11 +116,19 @@
     /** Takes the worker's clock in, as told at \a now. */
     static void tellClock(PooledWorker &worker, Instant now, std::int64_t clock);
     /** The end of a lease granted now, on the worker's clock; nothing if its clock is not known. */
-    static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now);
+    static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now,
+                                             Milliseconds length = LeaseLength);
+    /** False if the worker's lease is to run out. */
+    [[nodiscard]] static bool mayRenew(const PooledWorker &worker);
+    /** How long the lease of a new run of the step is to be there. */
+    [[nodiscard]] static Milliseconds leaseLength(const PooledWorker &worker, const StepSpec &step);
     /** True if whatever ran on the worker when it last heard of a leader has certainly ended. */
     [[nodiscard]] bool isLapsed(const PooledWorker &worker, Instant now) const;
     /** True if new runs may be ordered there. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
+    /** True if the worker takes runs of the step while its ends can't be noted: a run at a time
+     * that can lapse at little cost, and none once its list is nearly full. */
+    [[nodiscard]] static bool mayLapseOn(const PooledWorker &worker, const StepSpec &step);
 
 private:
     Instant m_takenOver;
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -381,24 +381,6 @@
 
 namespace {
 
-/** Lets the worker's lease lapse without an answer of its own, and takes the task's next start. */
-std::vector<CallWorker> startElsewhere(LeaderBench &bench, const std::string &silent,
-                                       const std::string &other)
-{
-    std::vector<CallWorker> elsewhere;
-    for (int step = 0; elsewhere.empty() && step < 120; ++step) {
-        bench.pass(100);
-        bench.beat(other);
-        if (const std::optional<CallWorker> hold = bench.takeHold(silent))
-            bench.answer(*hold, WorkerVerdict::NoAnswer);
-        for (const CallWorker &start : bench.takeStarts()) {
-            if (start.life.worker.value() == other)
-                elsewhere.push_back(start);
-        }
-    }
-    return elsewhere;
-}
-
 /** Has something run on all workers, so that they are asked what does. */
 void occupy(LeaderBench &bench, const std::string &worker)
 {
@@ -430,7 +412,7 @@
     bench.submit(jobA, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.pass(200);
-    const std::vector<CallWorker> elsewhere = startElsewhere(bench, "v", "w");
+    const std::vector<CallWorker> elsewhere = bench.startElsewhere("v", "w");
     REQUIRE(elsewhere.size() == 1);
     bench.answer(elsewhere[0], WorkerVerdict::Done);
     bench.pass(1000);
@@ -449,7 +431,7 @@
     for (const CallWorker &start : bench.takeStarts())
         bench.answer(start, WorkerVerdict::Done);
     bench.pass(200);
-    for (const CallWorker &start : startElsewhere(bench, "v", "w"))
+    for (const CallWorker &start : bench.startElsewhere("v", "w"))
         bench.answer(start, WorkerVerdict::Done);
     bench.pass(1000);
     bench.answerHold(
@@ -522,7 +504,7 @@
     bench.submit(jobA, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.pass(200);
-    REQUIRE(startElsewhere(bench, "v", "w").size() == 1);
+    REQUIRE(bench.startElsewhere("v", "w").size() == 1);
     bench.pass(1000);
     bench.answerHold("v", {});
     bench.beat("v");
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -50,10 +50,9 @@
 {
     m_leader.startReady(m_now, m_out);
     while (m_leader.hasDecisions()) {
-        const Decisions decisions = m_leader.takeDecisions();
-        for (const OriginAnswer &answer : decisions.answers)
-            m_answers[answer.origin.exchange] = answer.answer;
-        m_leader.carryOut(m_now, decisions, m_out);
+        m_undecided.push_back(m_leader.takeDecisions());
+        if (!m_isLogPaused)
+            carryOut(std::exchange(m_undecided, {}).front());
     }
     for (Effect &effect : m_out.take()) {
         if (auto *order = std::get_if<CallWorker>(&effect))
@@ -63,12 +62,45 @@
     }
 }
 
+void LeaderBench::carryOut(const Decisions &decisions)
+{
+    for (const OriginAnswer &answer : decisions.answers)
+        m_answers[answer.origin.exchange] = answer.answer;
+    m_leader.carryOut(m_now, decisions, m_out);
+}
+
+void LeaderBench::resumeLog()
+{
+    m_isLogPaused = false;
+    for (const Decisions &decisions : std::exchange(m_undecided, {}))
+        carryOut(decisions);
+    settle();
+}
+
+std::vector<CallWorker> LeaderBench::startElsewhere(const std::string &silent,
+                                                    const std::string &other)
+{
+    constexpr int MostSteps = 120;
+    std::vector<CallWorker> elsewhere;
+    for (int step = 0; elsewhere.empty() && step < MostSteps; ++step) {
+        pass(TickMilliseconds * 2);
+        beat(other);
+        if (const std::optional<CallWorker> hold = takeHold(silent))
+            answer(*hold, WorkerVerdict::NoAnswer);
+        for (const CallWorker &start : takeStarts()) {
+            if (start.life.worker.value() == other)
+                elsewhere.push_back(start);
+        }
+    }
+    return elsewhere;
+}
+
 CallAnswer LeaderBench::call(const CellCall &call)
 {
     const ExchangeId exchange(++m_lastExchange);
     m_leader.receive(m_now, m_wall, {HostId("self"), exchange}, call, m_out);
     settle();
-    return m_answers.at(exchange);
+    return m_isLogPaused ? CallAnswer() : m_answers.at(exchange);
 }
 
 CallAnswer LeaderBench::submit(const std::string &id, std::vector<StepSpec> steps,
@@ -111,6 +143,12 @@
     settle();
 }
 
+void LeaderBench::answer(const WorkerAnswer &answer)
+{
+    m_leader.receive(m_now, answer, m_out);
+    settle();
+}
+
 void LeaderBench::answerHold(const std::string &worker, std::vector<RunListed> running,
                              std::vector<EndListed> ended)
 {
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -26,10 +26,17 @@
     void beat(const std::string &worker, std::int64_t born = 1, bool isDraining = false);
     /** The life that began at \a born answers; 0 if the answer does not say which. */
     void answer(const CallWorker &order, WorkerVerdict verdict, std::int64_t born = 0);
+    void answer(const WorkerAnswer &answer);
     /** Answers the newest question for what runs on the worker. */
     void answerHold(const std::string &worker, std::vector<RunListed> running,
                     std::vector<EndListed> ended = {});
     void pass(std::int64_t milliseconds);
+    /** Lets the worker's lease lapse without an answer, and takes the next starts on \a other. */
+    std::vector<CallWorker> startElsewhere(const std::string &silent, const std::string &other);
+    /** Records become durable only with `resumeLog`. */
+    void pauseLog() { m_isLogPaused = true; }
+    void resumeLog();
+    [[nodiscard]] Instant now() const { return m_now; }
 
     /** Orders of a kind that were not taken from here before. */
     std::vector<CallWorker> takeStarts();
@@ -42,10 +49,13 @@
 
 private:
     void settle();
+    void carryOut(const Decisions &decisions);
 
     Instant m_now{10'000};
     Milliseconds m_wall{1'000'000};
     Outbox m_out{false};
+    bool m_isLogPaused = false;
+    std::vector<Decisions> m_undecided;
     CellLeader m_leader;
     std::uint64_t m_lastExchange = 0;
     std::uint64_t m_lastBeat = 0;
--- /dev/null
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -0,0 +1,134 @@
+#include "tests/control/jobs/leader_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+const std::string late = "00000000000000aa";
+
+std::string nameOf(std::uint64_t number)
+{
+    const std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+EndListed ended(std::uint64_t number, const std::string &job, std::uint64_t run, RunEnding ending)
+{
+    return {EndNumber(number), makeTask(job, 0, 0), RunNumber(run), ending, {}};
+}
+
+/** Brings about that "v" has listed an end, its first, which must not be noted: the task was
+ * started again on "w" meanwhile. Only "v" is of use afterwards. */
+void listLateEnd(LeaderBench &bench)
+{
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(late, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.pass(200);
+    const std::vector<CallWorker> elsewhere = bench.startElsewhere("v", "w");
+    REQUIRE(elsewhere.size() == 1);
+    bench.answer(elsewhere[0], WorkerVerdict::Done);
+    bench.pass(1000);
+    bench.answerHold("v", {}, {ended(1, late, 1, RunEnding::Done)});
+    bench.beat("w", 1, true);
+    bench.beat("v");
+}
+
+/** A worker "v" that runs one task of a second at a time and lists its ends. */
+class OneByOne
+{
+public:
+    explicit OneByOne(LeaderBench &bench)
+        : m_bench(bench)
+    {}
+
+    /** Runs what is started next until the end of its time or of its lease. False if nothing is. */
+    bool runOne()
+    {
+        constexpr std::int64_t TaskTime = 1000;
+        m_bench.beat("v");
+        const std::vector<CallWorker> starts = m_bench.takeStarts();
+        if (starts.size() != 1)
+            return false;
+        const CallWorker &start = starts[0];
+        const auto &order = std::get<OrderStart>(start.order);
+        const bool lapses = start.leaseUntil < m_bench.now().value() + TaskTime;
+        m_bench.answer(start, WorkerVerdict::Done);
+        m_ends.push_back({EndNumber(m_ends.size() + 2),
+                          order.task,
+                          order.run,
+                          lapses ? RunEnding::Lapsed : RunEnding::Done,
+                          {}});
+        list();
+        return true;
+    }
+
+    [[nodiscard]] EndNumber noted() const { return m_noted; }
+
+private:
+    void list()
+    {
+        constexpr std::size_t MostListed = 500;
+        m_bench.pass(400);
+        const std::optional<CallWorker> hold = m_bench.takeHold("v");
+        REQUIRE(hold.has_value());
+        m_noted = std::get<OrderHold>(hold->order).noted;
+        std::vector<EndListed> listed;
+        if (m_noted == EndNumber(0))
+            listed.push_back(ended(1, late, 1, RunEnding::Done));
+        for (const EndListed &end : m_ends) {
+            if (end.number > m_noted && listed.size() < MostListed)
+                listed.push_back(end);
+        }
+        WorkerAnswer answer;
+        answer.call = hold->call;
+        answer.verdict = WorkerVerdict::Done;
+        answer.clock = m_bench.now().value();
+        answer.ended = std::move(listed);
+        m_bench.answer(answer);
+    }
+
+    LeaderBench &m_bench;
+    std::vector<EndListed> m_ends;
+    EndNumber m_noted;
+};
+
+} // namespace
+
+// Guards against a list that grows to its limit, after which runs on that worker never end.
+TEST_CASE("A worker with an end that can't be noted goes on to work, and its ends are noted again")
+{
+    constexpr std::uint64_t Jobs = 600;
+    LeaderBench bench;
+    listLateEnd(bench);
+    OneByOne worker(bench);
+    for (std::uint64_t job = 1; job <= Jobs; ++job) {
+        bench.submit(nameOf(job), {makeStep(1, 1000)});
+        for (int runs = 0; runs < 2; ++runs) {
+            if (std::get<JobShown>(bench.look(nameOf(job))).state == JobState::Completed)
+                break;
+            INFO("job " << job);
+            REQUIRE(worker.runOne());
+        }
+        REQUIRE(std::get<JobShown>(bench.look(nameOf(job))).state == JobState::Completed);
+    }
+    CHECK(worker.noted() > EndNumber(Jobs - 1));
+}
+
+// Guards against lasting work that is killed so that ends can be noted.
+TEST_CASE("A worker with an end that can't be noted gets no lasting work and one run at a time")
+{
+    LeaderBench bench;
+    listLateEnd(bench);
+    StepSpec lasting = makeStep(1, 100);
+    lasting.isLasting = true;
+    bench.submit(nameOf(1), {lasting});
+    CHECK(bench.takeStarts().empty());
+    bench.submit(nameOf(2), {makeStep(3, 100)});
+    CHECK(bench.takeStarts().size() == 1);
+}
