Note an end whose task's next start has not left

What was seen: an end `done` that came between the decision of the task's next start and its order kept the worker's ends from being noted, although that start is given up unsent, since the task is done. Evidence, before: run_desk_test.cpp:161: FAILED: CHECK( std::get<OrderHold>(hold->order).noted == EndNumber(1) ). Why it is sure: the run's record is durable, and so is its end `NotStarted`, which is decided when the start's turn to be sent comes; both precede the note, which waits for the record of the end. A successor finds the task done and sends nothing.

--- a/control/jobs/end_recorder.cpp
+++ b/control/jobs/end_recorder.cpp
@@ -52,18 +52,33 @@
     // Everything that ran was killed after the ends before this one, so none of them was in time.
     if (end.ending == RunEnding::Lapsed)
         worker.hasUnnotableEnd = false;
-    const TaskProgress *const progress = jobbook::find(m_book, end.task);
     const bool counts = end.ending == RunEnding::Done || end.ending == RunEnding::Failed;
-    if (!counts || worker.hasUnnotableEnd || progress == nullptr || progress->lastRun <= end.run)
-        return;
-    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
-    if (step.isLasting)
+    if (!counts || worker.hasUnnotableEnd || !hasLaterStart(end))
         return;
     worker.hasUnnotableEnd = true;
     out.add(LogLine{true, end.task.step.job.value(),
                     absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
                                  " worker=", worker.report.life.worker.value(),
-                                 " a later run was ordered: run=", progress->lastRun.value())});
+                                 " a later run was ordered: run=",
+                                 jobbook::find(m_book, end.task)->lastRun.value())});
+}
+
+bool EndRecorder::hasLaterStart(const EndListed &end)
+{
+    const TaskProgress *const progress = jobbook::find(m_book, end.task);
+    if (progress == nullptr || progress->lastRun <= end.run)
+        return false;
+    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
+    if (step.isLasting)
+        return false;
+    if (end.ending != RunEnding::Done || step.isGang || progress->lastRun != end.run.next())
+        return true;
+    // A start that has not left yet is given up, since the task is done.
+    PooledWorker *const worker = m_pool.find(progress->worker);
+    if (worker == nullptr || !worker->runs.contains(end.task))
+        return true;
+    const OpenRun &next = worker->runs.at(end.task);
+    return next.run != progress->lastRun || next.wasSent;
 }
 
 void EndRecorder::noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -132,3 +132,31 @@
     bench.submit(nameOf(2), {makeStep(3, 100)});
     CHECK(bench.takeStarts().size() == 1);
 }
+
+// Guards against ends that are kept for a start that never leaves.
+TEST_CASE("An end that comes before the task's next start has left is noted, and nothing starts")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(late, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.pass(200);
+    // The lease is over, and the next start is decided but not durable.
+    bench.pauseLog();
+    CHECK(bench.startElsewhere("v", "w").empty());
+    bench.answerHold("v", {}, {ended(1, late, 1, RunEnding::Done)});
+    bench.resumeLog();
+    CHECK(bench.takeStarts().empty());
+    CHECK(std::get<JobShown>(bench.look(late)).state == JobState::Completed);
+    bench.beat("v");
+    bench.beat("w");
+    bench.submit(nameOf(1), {makeStep(20, 100)});
+    for (const CallWorker &start : bench.takeStarts())
+        bench.answer(start, WorkerVerdict::Done);
+    bench.pass(1000);
+    const std::optional<CallWorker> hold = bench.takeHold("v");
+    REQUIRE(hold.has_value());
+    CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(1));
+}
