Grant leases by what a worker's clock shows at least

Cause: a lease was reckoned from a clock that was told when the worker was last asked. A successor reckons with leases of 3 s and starts elsewhere what still runs there. Evidence, before: worker_pool_test.cpp:16: FAILED: CHECK( *until <= SlowestClock + LeaseLength ) with expansion: 203000 <= 199000. Change: the grant uses the least that the clock can show; heartbeats, which bring the clock of idle workers, keep that close.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -197,8 +197,7 @@
     worker->isAnnounced = true;
     worker->lastBeat = now;
     worker->lastSequence = call.sequence;
-    if (!worker->clock.has_value())
-        WorkerPool::tellClock(*worker, now, call.clock);
+    WorkerPool::raiseClock(*worker, now, call.clock);
     for (const WorkerLife &other : replaced)
         m_runs.replaceLife(now, other, life, {}, out);
     answer(origin, taken);
@@ -217,8 +216,7 @@
             continue;
         worker->lastSequence = beat.sequence;
         worker->lastBeat = std::max(worker->lastBeat, now - beat.age);
-        if (!worker->clock.has_value())
-            WorkerPool::tellClock(*worker, now, beat.clock);
+        WorkerPool::raiseClock(*worker, now - beat.age, beat.clock);
     }
     return unknown;
 }
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -76,12 +76,24 @@
     worker.clockAt = now;
 }
 
+void WorkerPool::raiseClock(PooledWorker &worker, Instant at, std::int64_t clock)
+{
+    if (!worker.clock.has_value() || clock > leastClock(worker, at))
+        tellClock(worker, at, clock);
+}
+
+std::int64_t WorkerPool::leastClock(const PooledWorker &worker, Instant now)
+{
+    return *worker.clock + (now - worker.clockAt).value() * SlowestClockPermille / 1000;
+}
+
 std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now,
                                               Milliseconds length)
 {
     if (!worker.clock.has_value())
         return std::nullopt;
-    const std::int64_t until = *worker.clock + (now - worker.clockAt).value() + length.value();
+    // A successor reckons with leases of no more than their length.
+    const std::int64_t until = leastClock(worker, now) + length.value();
     worker.grantedUntil = std::max(worker.grantedUntil, until);
     return worker.grantedUntil;
 }
@@ -94,9 +106,7 @@
         return false;
     if (worker.grantedUntil == 0)
         return true;
-    const std::int64_t least = *worker.clock
-            + (now - worker.clockAt).value() * SlowestClockPermille / 1000 - ClockMargin;
-    return least > worker.grantedUntil;
+    return leastClock(worker, now) - ClockMargin > worker.grantedUntil;
 }
 
 bool WorkerPool::mayRenew(const PooledWorker &worker)
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -115,6 +115,8 @@
 
     /** Takes the worker's clock in, as told at \a now. */
     static void tellClock(PooledWorker &worker, Instant now, std::int64_t clock);
+    /** Takes the clock of a heartbeat that came in at \a at, unless more is known. */
+    static void raiseClock(PooledWorker &worker, Instant at, std::int64_t clock);
     /** The end of a lease granted now, on the worker's clock; nothing if its clock is not known. */
     static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now,
                                              Milliseconds length = LeaseLength);
@@ -131,6 +133,9 @@
     [[nodiscard]] static bool mayLapseOn(const PooledWorker &worker, const StepSpec &step);
 
 private:
+    /** What the worker's clock shows at least. Precondition: it was told. */
+    [[nodiscard]] static std::int64_t leastClock(const PooledWorker &worker, Instant now);
+
     Instant m_takenOver;
     std::map<WorkerLife, PooledWorker> m_workers;
     WorkerPace m_usualPace;
--- /dev/null
+++ b/tests/control/jobs/worker_pool_test.cpp
@@ -0,0 +1,29 @@
+#include "control/jobs/worker_pool.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+
+// Guards against a successor that takes a run for lapsed while the worker still holds a lease.
+TEST_CASE("A lease is no longer than its length by a slow clock that was told long ago")
+{
+    constexpr std::int64_t Idle = 200'000;
+    constexpr std::int64_t SlowestClock = Idle * 98 / 100;
+    PooledWorker worker;
+    WorkerPool::tellClock(worker, Instant(0), 0);
+    const std::optional<std::int64_t> until = WorkerPool::grant(worker, Instant(Idle));
+    REQUIRE(until.has_value());
+    CHECK(*until <= SlowestClock + WorkerPool::LeaseLength.value());
+}
+
+// Guards against leases of an idle worker that have run out when they arrive.
+TEST_CASE("A heartbeat tells an idle worker's clock, and one that came late changes nothing")
+{
+    constexpr std::int64_t Idle = 200'000;
+    PooledWorker worker;
+    WorkerPool::raiseClock(worker, Instant(0), 0);
+    WorkerPool::raiseClock(worker, Instant(Idle), Idle);
+    CHECK(WorkerPool::grant(worker, Instant(Idle)) == Idle + WorkerPool::LeaseLength.value());
+    WorkerPool::raiseClock(worker, Instant(Idle), Idle - 5000);
+    CHECK(worker.clock == Idle);
+}
