Stop in a worker's next life what a former leader ordered

Cause: a successor took each inherited run for settled, since its fence keeps former orders out. A worker that starts again under its name has seen no fence, so a former leader's start can be carried out there, while the successor starts the task elsewhere at once. Evidence, before: run_desk_test.cpp:176: FAILED: CHECK( second.takeStarts().empty() ); :178: REQUIRE( stops.size() == 1 ), 0 == 1. Change: inherited runs go over to the next life as unanswered ones do, and end by its list.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -41,9 +41,11 @@
                     PooledWorker *const worker = m_pool.find(tasks[index].worker);
                     if (worker == nullptr)
                         continue;
-                    // An earlier leader sent it; with this one's fence it can't arrive any more.
+                    // An earlier leader sent it; with this one's fence it can't arrive any more,
+                    // but at a next life, which has seen no fence.
                     worker->runs.at(task).wasSent = true;
                     worker->runs.at(task).isSettled = true;
+                    worker->runs.at(task).mayArriveLate = true;
                 }
             }
         }
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -160,3 +160,25 @@
     REQUIRE(hold.has_value());
     CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(1));
 }
+
+// Guards against two runs at a time: an order of a former leader reaches a life without a fence.
+TEST_CASE("What a former leader ordered is stopped in the worker's next life before it runs again")
+{
+    LeaderBench first;
+    first.configure();
+    first.beat("v");
+    first.submit(late, {makeStep(1, 100)});
+    REQUIRE(first.takeStarts().size() == 1);
+
+    LeaderBench second(first.leader().book());
+    second.beat("v", 2);
+    second.beat("w");
+    CHECK(second.takeStarts().empty());
+    const std::vector<CallWorker> stops = second.takeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].life == makeLife("v", 2));
+    second.answer(stops[0], WorkerVerdict::Done, 2);
+    second.answerHold("v", {});
+    second.answerHold("v", {});
+    CHECK(second.takeStarts().size() == 1);
+}
