Note no failure that the book does not count

Cause: a run that was closed as lapsed, and whose end `failed` is listed later, was noted without counting as an attempt, so the task got one run too many. Change: such an end is kept like an end with a later start; the worker's next lapse makes it harmless. After a change of leaders a failure that was counted, but not noted yet, is kept as well; the two can't be told apart.

--- a/control/jobs/end_recorder.cpp
+++ b/control/jobs/end_recorder.cpp
@@ -53,24 +53,29 @@
     if (end.ending == RunEnding::Lapsed)
         worker.hasUnnotableEnd = false;
     const bool counts = end.ending == RunEnding::Done || end.ending == RunEnding::Failed;
-    if (!counts || worker.hasUnnotableEnd || !hasLaterStart(end))
+    if (!counts || worker.hasUnnotableEnd || !mustBeKept(end))
         return;
     worker.hasUnnotableEnd = true;
     out.add(LogLine{true, end.task.step.job.value(),
                     absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
                                  " worker=", worker.report.life.worker.value(),
-                                 " a later run was ordered: run=",
-                                 jobbook::find(m_book, end.task)->lastRun.value())});
+                                 " last_run=", jobbook::find(m_book, end.task)->lastRun.value())});
 }
 
-bool EndRecorder::hasLaterStart(const EndListed &end)
+bool EndRecorder::mustBeKept(const EndListed &end)
 {
     const TaskProgress *const progress = jobbook::find(m_book, end.task);
-    if (progress == nullptr || progress->lastRun <= end.run)
+    if (progress == nullptr)
         return false;
-    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
-    if (step.isLasting)
+    const Job &job = m_book.jobs.at(end.task.step.job);
+    const StepSpec &step = job.spec.steps[end.task.step.step];
+    if (step.isLasting || progress->lastRun < end.run)
         return false;
+    if (progress->lastRun == end.run) {
+        // The run was closed without its end, so the failure does not count in the book.
+        return end.ending == RunEnding::Failed && !progress->isOpen && !progress->isDone
+                && !job.isOver();
+    }
     if (end.ending != RunEnding::Done || step.isGang || progress->lastRun != end.run.next())
         return true;
     // A start that has not left yet is given up, since the task is done.
--- a/control/jobs/end_recorder.h
+++ b/control/jobs/end_recorder.h
@@ -26,8 +26,8 @@
     /** An end that was listed only after a later run was ordered must not be noted: the later run
      * would be a start after an end that counts. */
     void noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out);
-    /** True if a run of the task after \a end has been at work, or will be. */
-    [[nodiscard]] bool hasLaterStart(const EndListed &end);
+    /** True if the rules would be broken by a start of the task, were \a end noted. */
+    [[nodiscard]] bool mustBeKept(const EndListed &end);
     static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
     void notePace(Instant now, PooledWorker &worker, const EndListed &end);
 
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -182,3 +182,32 @@
     second.answerHold("v", {});
     CHECK(second.takeStarts().size() == 1);
 }
+
+// Guards against one attempt too many: a failure that the book does not count must not count.
+TEST_CASE("A failure that is listed after its run was taken for lapsed is not noted")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(late, {makeStep(1, 1000)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.pass(200);
+    for (int step = 0; step < 60; ++step) {
+        bench.pass(100);
+        if (const std::optional<CallWorker> hold = bench.takeHold("v"))
+            bench.answer(*hold, WorkerVerdict::NoAnswer);
+    }
+    bench.pass(1000);
+    bench.answerHold("v", {}, {ended(1, late, 1, RunEnding::Failed)});
+    bench.beat("v");
+    bench.pass(100);
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(std::get<OrderStart>(starts[0].order).run == RunNumber(2));
+    bench.answer(starts[0], WorkerVerdict::Done);
+    bench.pass(1000);
+    const std::optional<CallWorker> hold = bench.takeHold("v");
+    REQUIRE(hold.has_value());
+    CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(0));
+}
