Take a list as proof only for the runs that were there when it was asked for

Cause: a question remembered tasks, not runs. If its answer is slow, and the task was meanwhile closed by a lapse and started again on the same worker, the list without the new run was taken for proof that this run was lost, and a third was started beside it. Change: the run's number is remembered with the task.

--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -293,7 +293,9 @@
         return;
     std::vector<JobTaskRef> lost;
     for (const auto &[task, run] : worker.runs) {
-        if (!present.contains(task) && call.settled.contains(task) && run.isSettled)
+        const auto settled = call.settled.find(task);
+        const bool wasSettled = settled != call.settled.end() && settled->second == run.run;
+        if (!present.contains(task) && wasSettled && run.isSettled)
             lost.push_back(task);
     }
     for (const JobTaskRef &task : lost)
@@ -372,7 +374,7 @@
     Call call{OrderKind::Hold, worker.report.life, {}, {}, {}, 0};
     for (const auto &[task, run] : worker.runs) {
         if (run.isSettled && run.wasSent)
-            call.settled.insert(task);
+            call.settled.emplace(task, run.run);
     }
     CallWorker effect
             = callTo(now, worker, OrderHold{worker.noted, waits ? HoldWait : Milliseconds(0)});
--- a/control/jobs/run_desk.h
+++ b/control/jobs/run_desk.h
@@ -59,7 +59,7 @@
         JobTaskRef task;
         RunNumber run;
         /** Runs that were settled when the call left, so that a list without them is proof. */
-        std::set<JobTaskRef> settled;
+        std::map<JobTaskRef, RunNumber> settled;
         /** What the call grants, on the worker's clock; 0 for nothing. */
         std::int64_t leaseUntil = 0;
     };
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -211,3 +211,27 @@
     REQUIRE(hold.has_value());
     CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(0));
 }
+
+// Guards against two runs at a time: a list from before a run's start says nothing of it.
+TEST_CASE("A list that was asked for when an earlier run was there proves no later run lost")
+{
+    LeaderBench first;
+    first.configure();
+    first.beat("v");
+    first.submit(late, {makeStep(1, 100)});
+    REQUIRE(first.takeStarts().size() == 1);
+
+    LeaderBench second(first.leader().book());
+    second.pass(100);
+    const std::optional<CallWorker> hold = second.takeHold("v");
+    REQUIRE(hold.has_value());
+    second.pass(4500);
+    second.beat("v");
+    second.pass(100);
+    const std::vector<CallWorker> starts = second.takeStarts();
+    REQUIRE(starts.size() == 1);
+    second.answer(starts[0], WorkerVerdict::Done);
+    second.answer(*hold, WorkerVerdict::Done);
+    second.pass(100);
+    CHECK(second.takeStarts().empty());
+}
