Wait for the longest lease where a run may be at work in a next life

Cause: a run that went over to the worker's next life was taken for lapsed at the next tick, since this leader had granted that life nothing. If the life had carried the order out, its lease is the one in the order, by another clock and up to the 10 s that a worker takes; the task was started elsewhere beside it. The older test of this passed only because a leader that has just taken over waits for former leases anyway. Change: nothing lapses there for 10 s, by the slowest clock; its list, which comes long before, says what became of the run.

--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -101,6 +101,8 @@
         run.mayArriveLate = true;
         run.isStopping = true;
     }
+    if (!moved.empty())
+        WorkerPool::noteForeignLease(*m_pool.find(next), now);
     endLife(old, "another life is at its place", out);
     follow(now, *m_pool.find(next), out);
 }
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -98,11 +98,17 @@
     return worker.grantedUntil;
 }
 
+void WorkerPool::noteForeignLease(PooledWorker &worker, Instant now)
+{
+    worker.foreignLeaseUntil
+            = now + Milliseconds(LongestLease.value() * 1000 / SlowestClockPermille);
+}
+
 bool WorkerPool::isLapsed(const PooledWorker &worker, Instant now) const
 {
     const std::int64_t inherited
             = (LeaseLength + FormerLeaderMargin).value() * 1000 / SlowestClockPermille;
-    if ((now - m_takenOver).value() < inherited)
+    if ((now - m_takenOver).value() < inherited || now < worker.foreignLeaseUntil)
         return false;
     if (worker.grantedUntil == 0)
         return true;
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -57,6 +57,8 @@
     std::int64_t grantedUntil = 0;
     /** The latest lease end in a call that may have reached the worker and is over. */
     std::int64_t heardUntil = 0;
+    /** On this host's clock: until then a lease that an earlier life was granted may hold here. */
+    Instant foreignLeaseUntil;
     /** The newest end that was taken in. */
     EndNumber recorded;
     /** The newest end that the worker may forget once it is durable. */
@@ -96,6 +98,10 @@
      * leaders takes; what ran on a lost worker waits for as long before it runs elsewhere. */
     static constexpr Milliseconds LeaseLength{3000};
 
+    /** The longest lease that a worker takes, whatever it is granted (the platform's
+     * `hold_max_ms`). */
+    static constexpr Milliseconds LongestLease{10'000};
+
     explicit WorkerPool(Instant takenOver)
         : m_takenOver(takenOver)
     {}
@@ -124,6 +130,8 @@
     [[nodiscard]] static bool mayRenew(const PooledWorker &worker);
     /** How long the lease of a new run of the step is to be there. */
     [[nodiscard]] static Milliseconds leaseLength(const PooledWorker &worker, const StepSpec &step);
+    /** An order for an earlier life may have reached this one, with a lease by another clock. */
+    static void noteForeignLease(PooledWorker &worker, Instant now);
     /** True if whatever ran on the worker when it last heard of a leader has certainly ended. */
     [[nodiscard]] bool isLapsed(const PooledWorker &worker, Instant now) const;
     /** True if new runs may be ordered there. */
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -235,3 +235,25 @@
     second.pass(100);
     CHECK(second.takeStarts().empty());
 }
+
+// Guards against two runs at a time: the next life's lease is not the one that was granted to it.
+TEST_CASE("A run that may be at work in the worker's next life does not lapse before that life's "
+          "list")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(late, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.beat("w");
+    REQUIRE(bench.takeHold("v").has_value());
+    // The start was carried out by a life that the leader has not heard of.
+    bench.answer(starts[0], WorkerVerdict::Done, 2);
+    const std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    bench.answer(stops[0], WorkerVerdict::Done, 2);
+    bench.pass(100);
+    CHECK(bench.takeStarts().empty());
+}
