Only ask a worker that does not answer

Cause: starts were repeated to a silent worker for the length of a lease, and questions to it named the ends it may forget. A worker that has started again under its name takes both for its own: it runs a task that was started elsewhere since, and forgets ends that nobody has seen, so that what it has done is started again. Change: until it answers, a silent worker gets only questions, which note nothing and grant nothing. Once it has answered, starts are repeated as before.

--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -356,9 +356,9 @@
         if (run.isStopping || !isWanted(task)) {
             run.isCallInFlight = true;
             orderStop(now, worker, task, run.run, out);
-        } else if (!run.isSettled) {
+        } else if (!run.isSettled && !worker.isFailing) {
             orderStart(now, worker, task, out);
-        } else {
+        } else if (run.isSettled) {
             run.nextAttempt = now + SettledPause;
         }
     }
@@ -372,14 +372,16 @@
 
 void RunDesk::hold(Instant now, PooledWorker &worker, Outbox &out)
 {
+    // A silent worker may have started anew: what it is sent must do its next life no harm.
     const bool waits = !worker.isFailing && worker.clock.has_value();
     Call call{OrderKind::Hold, worker.report.life, {}, {}, {}, 0};
     for (const auto &[task, run] : worker.runs) {
         if (run.isSettled && run.wasSent)
             call.settled.emplace(task, run.run);
     }
-    CallWorker effect
-            = callTo(now, worker, OrderHold{worker.noted, waits ? HoldWait : Milliseconds(0)});
+    CallWorker effect = callTo(now, worker,
+                               OrderHold{worker.isFailing ? EndNumber() : worker.noted,
+                                         waits ? HoldWait : Milliseconds(0)});
     effect.leaseUntil
             = WorkerPool::mayRenew(worker) ? WorkerPool::grant(worker, now).value_or(0) : 0;
     effect.timeout = OrderTimeout + (waits ? HoldWait : Milliseconds(0));
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -257,3 +257,32 @@
     bench.pass(100);
     CHECK(bench.takeStarts().empty());
 }
+
+// Guards against ends and leases that a silent worker's next life takes over unseen.
+TEST_CASE("A silent worker is only asked what it runs: nothing is noted, granted or started there")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.beat("v");
+    bench.submit(late, {makeStep(2, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 2);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    bench.answerHold("v", {}, {ended(3, late, 1, RunEnding::Done)});
+    bench.pass(200);
+    bench.answer(starts[1], WorkerVerdict::NoAnswer);
+    std::optional<CallWorker> hold = bench.takeHold("v");
+    REQUIRE(hold.has_value());
+    CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(3));
+    bench.answer(*hold, WorkerVerdict::NoAnswer);
+    bench.takeStarts();
+    bench.pass(1000);
+    hold = bench.takeHold("v");
+    REQUIRE(hold.has_value());
+    CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(0));
+    CHECK(hold->leaseUntil == 0);
+    CHECK(bench.takeStarts().empty());
+    bench.answer(*hold, WorkerVerdict::Done);
+    bench.pass(200);
+    CHECK(bench.takeStarts().size() == 1);
+}
