Play leaders and workers in virtual time against a naive oracle

Emulated workers that obey the protocol (fences, run numbers, leases by slow clocks, ends and what is noted of them, orders carried out late), lost, held and overtaken calls, cuts, pauses, crashes under the same and another name, draining, changes of leaders over the same log.

--- /dev/null
+++ b/tests/control/jobs/model_trace.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/job_calls.h"
+
+#include <string>
+
+namespace gentiancross::tests {
+
+/** What a line of a test's trace says of these. */
+std::string describe(const JobTaskRef &task);
+std::string describe(const CallWorker &call);
+std::string describe(const WorkerAnswer &answer);
+
+} // namespace gentiancross::tests
--- /dev/null
+++ b/tests/control/jobs/model_worker.cpp
@@ -0,0 +1,176 @@
+#include "tests/control/jobs/model_worker.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace gentiancross::tests {
+
+namespace {
+
+constexpr std::int64_t LongestLease = 10'000;
+constexpr std::int64_t LongestStop = 200;
+constexpr std::size_t MostEndsListed = 500;
+constexpr std::int64_t Permille = 1000;
+constexpr std::int64_t Forever = std::numeric_limits<std::int64_t>::max() / 4;
+
+} // namespace
+
+ModelWorker::ModelWorker(Instant now, WorkerReport report, std::int64_t clockPermille,
+                         RunOracle &oracle, SoakRandom &random)
+    : m_report(std::move(report))
+    , m_bornAt(now)
+    , m_clockPermille(clockPermille)
+    , m_oracle(oracle)
+    , m_random(random)
+{}
+
+std::int64_t ModelWorker::clock(Instant now) const
+{
+    return (now - m_bornAt).value() * m_clockPermille / Permille;
+}
+
+Instant ModelWorker::lapseAt() const
+{
+    return m_bornAt + Milliseconds((m_leaseUntil * Permille + m_clockPermille) / m_clockPermille);
+}
+
+void ModelWorker::extend(Instant now, std::int64_t until)
+{
+    m_leaseUntil = std::max(m_leaseUntil, std::min(until, clock(now) + LongestLease));
+}
+
+void ModelWorker::end(JobTaskRef task, RunEnding ending)
+{
+    const RunNumber run = m_running.at(task).run;
+    m_running.erase(task);
+    m_highest[task] = std::max(m_highest[task], run);
+    m_lastEnd = m_lastEnd.next();
+    m_ended.push_back({{m_lastEnd, task, run, ending, {}},
+                       m_oracle.ended(m_report.life, task, run, ending),
+                       m_lapses});
+}
+
+void ModelWorker::lapse()
+{
+    // Ends before this one are of an earlier lease.
+    ++m_lapses;
+    while (!m_running.empty())
+        end(m_running.begin()->first, RunEnding::Lapsed);
+}
+
+void ModelWorker::advance(Instant now)
+{
+    // Leases run out in a pause too.
+    if (isFrozen(now)) {
+        if (lapseAt() <= now && !m_running.empty())
+            lapse();
+        return;
+    }
+    while (!m_running.empty()) {
+        const auto next = std::min_element(m_running.begin(), m_running.end(),
+                                           [](const auto &first, const auto &second) {
+                                               return first.second.endsAt < second.second.endsAt;
+                                           });
+        if (std::min(next->second.endsAt, lapseAt()) > now)
+            return;
+        if (lapseAt() <= next->second.endsAt)
+            lapse();
+        else
+            end(next->first, next->second.ending);
+    }
+}
+
+void ModelWorker::freeze(Instant now, Instant until)
+{
+    advance(now);
+    m_frozenUntil = until;
+    for (auto &[task, run] : m_running)
+        run.endsAt = run.endsAt + (until - now);
+}
+
+WorkerAnswer ModelWorker::execute(Instant now, const CallWorker &call)
+{
+    WorkerAnswer answer;
+    answer.call = call.call;
+    answer.clock = clock(now);
+    answer.born = m_report.life.born;
+    answer.verdict = WorkerVerdict::Done;
+    if (call.fence < m_fence) {
+        answer.verdict = WorkerVerdict::Fenced;
+        return answer;
+    }
+    m_fence = call.fence;
+    if (const auto *order = std::get_if<OrderStart>(&call.order)) {
+        answer.verdict = start(now, call, *order);
+    } else if (const auto *order = std::get_if<OrderStop>(&call.order)) {
+        stop(now, *order);
+    } else {
+        extend(now, call.leaseUntil);
+        list(std::get<OrderHold>(call.order), answer);
+    }
+    return answer;
+}
+
+WorkerVerdict ModelWorker::start(Instant now, const CallWorker &call, const OrderStart &order)
+{
+    if (call.leaseUntil <= clock(now))
+        return WorkerVerdict::Late;
+    extend(now, call.leaseUntil);
+    const auto running = m_running.find(order.task);
+    if (running != m_running.end() && running->second.run == order.run)
+        return WorkerVerdict::Done;
+    const auto highest = m_highest.find(order.task);
+    const bool isOld = (running != m_running.end() && order.run < running->second.run)
+            || (highest != m_highest.end() && order.run <= highest->second);
+    if (isOld)
+        return WorkerVerdict::Superseded;
+    m_oracle.started(m_report.life, m_report.capacity, order.task, order.run);
+    // The payload says how long the task takes, 0 for one that lasts, and which part of its runs
+    // fails.
+    const std::string &payload = *order.payload;
+    const std::int64_t time = std::stoll(payload);
+    const double failing = std::stod(payload.substr(payload.find(' ')));
+    Running run{order.run, now + Milliseconds(Forever), RunEnding::Done};
+    if (m_random.chance(failing))
+        run.ending = RunEnding::Failed;
+    if (time > 0)
+        run.endsAt = now + Milliseconds(m_random.between(time / 2 + 1, time * 3 / 2));
+    m_running.insert_or_assign(order.task, run);
+    return WorkerVerdict::Done;
+}
+
+void ModelWorker::stop(Instant now, const OrderStop &order)
+{
+    RunNumber &highest = m_highest[order.task];
+    highest = std::max(highest, order.run);
+    const auto running = m_running.find(order.task);
+    if (running == m_running.end() || running->second.run > order.run)
+        return;
+    const Instant stopped = now + Milliseconds(m_random.between(1, LongestStop));
+    if (running->second.endsAt <= stopped)
+        return;
+    running->second.endsAt = stopped;
+    running->second.ending = RunEnding::Stopped;
+}
+
+void ModelWorker::list(const OrderHold &order, WorkerAnswer &answer)
+{
+    while (!m_ended.empty() && m_ended.front().listed.number <= order.noted) {
+        if (m_ended.front().lapses == m_lapses)
+            m_oracle.noted(m_ended.front().oracleNumber);
+        m_ended.erase(m_ended.begin());
+    }
+    for (const auto &[task, run] : m_running)
+        answer.running.push_back({task, run.run, {}, 100, 0});
+    for (const Ended &ended : m_ended) {
+        if (answer.ended.size() < MostEndsListed)
+            answer.ended.push_back(ended.listed);
+    }
+}
+
+WorkerBeat ModelWorker::beat(Instant now)
+{
+    return {m_report, clock(now), ++m_sequence};
+}
+
+} // namespace gentiancross::tests
--- /dev/null
+++ b/tests/control/jobs/model_worker.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/job_calls.h"
+#include "tests/control/jobs/run_oracle.h"
+#include "tests/soak/soak_random.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace gentiancross::tests {
+
+/** One life of a worker that obeys the platform's protocol, in a test's time. */
+class ModelWorker
+{
+public:
+    /** \a clockPermille is how fast its clock runs. */
+    ModelWorker(Instant now, WorkerReport report, std::int64_t clockPermille, RunOracle &oracle,
+                SoakRandom &random);
+
+    /** What has come to pass up to \a now: ends, and leases that have run out. */
+    void advance(Instant now);
+    /** Does nothing until \a until. */
+    void freeze(Instant now, Instant until);
+    [[nodiscard]] bool isFrozen(Instant now) const { return now < m_frozenUntil; }
+    [[nodiscard]] Instant frozenUntil() const { return m_frozenUntil; }
+    /** Carries an order out. Precondition: the worker was advanced to \a now. */
+    WorkerAnswer execute(Instant now, const CallWorker &call);
+    /** True if the worker has ends to tell of. */
+    [[nodiscard]] bool hasEnds() const { return !m_ended.empty(); }
+    [[nodiscard]] std::size_t endCount() const { return m_ended.size(); }
+    [[nodiscard]] bool isIdle() const { return m_running.empty(); }
+    WorkerBeat beat(Instant now);
+    void drain() { m_report.isDraining = true; }
+    void die() { m_oracle.died(m_report.life); }
+
+    [[nodiscard]] const WorkerReport &report() const { return m_report; }
+
+private:
+    struct Running
+    {
+        RunNumber run;
+        Instant endsAt;
+        RunEnding ending;
+    };
+
+    struct Ended
+    {
+        EndListed listed;
+        std::size_t oracleNumber;
+        std::uint64_t lapses;
+    };
+
+    [[nodiscard]] std::int64_t clock(Instant now) const;
+    [[nodiscard]] Instant lapseAt() const;
+    void extend(Instant now, std::int64_t until);
+    void end(JobTaskRef task, RunEnding ending);
+    void lapse();
+    WorkerVerdict start(Instant now, const CallWorker &call, const OrderStart &order);
+    void stop(Instant now, const OrderStop &order);
+    void list(const OrderHold &order, WorkerAnswer &answer);
+
+    WorkerReport m_report;
+    Instant m_bornAt;
+    std::int64_t m_clockPermille;
+    RunOracle &m_oracle;
+    SoakRandom &m_random;
+    Instant m_frozenUntil;
+    Fence m_fence;
+    std::int64_t m_leaseUntil = 0;
+    std::uint64_t m_lapses = 0;
+    std::uint64_t m_sequence = 0;
+    EndNumber m_lastEnd;
+    std::map<JobTaskRef, Running> m_running;
+    std::map<JobTaskRef, RunNumber> m_highest;
+    std::vector<Ended> m_ended;
+};
+
+} // namespace gentiancross::tests
--- a/tests/control/jobs/run_desk_test.cpp
+++ b/tests/control/jobs/run_desk_test.cpp
@@ -212,6 +212,28 @@
     CHECK(std::get<OrderHold>(hold->order).noted == EndNumber(0));
 }
 
+// Guards against two runs at a time: the next life's lease is not the one that was granted to it.
+TEST_CASE("A run that may be at work in the worker's next life does not lapse before that life's "
+          "list")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(late, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.beat("w");
+    REQUIRE(bench.takeHold("v").has_value());
+    // The start was carried out by a life that the leader has not heard of.
+    bench.answer(starts[0], WorkerVerdict::Done, 2);
+    const std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    bench.answer(stops[0], WorkerVerdict::Done, 2);
+    bench.pass(100);
+    CHECK(bench.takeStarts().empty());
+}
+
 // Guards against two runs at a time: a list from before a run's start says nothing of it.
 TEST_CASE("A list that was asked for when an earlier run was there proves no later run lost")
 {
@@ -236,28 +258,6 @@
     CHECK(second.takeStarts().empty());
 }
 
-// Guards against two runs at a time: the next life's lease is not the one that was granted to it.
-TEST_CASE("A run that may be at work in the worker's next life does not lapse before that life's "
-          "list")
-{
-    LeaderBench bench;
-    bench.configure();
-    bench.pass(8000);
-    bench.beat("v");
-    bench.submit(late, {makeStep(1, 100)});
-    const std::vector<CallWorker> starts = bench.takeStarts();
-    REQUIRE(starts.size() == 1);
-    bench.beat("w");
-    REQUIRE(bench.takeHold("v").has_value());
-    // The start was carried out by a life that the leader has not heard of.
-    bench.answer(starts[0], WorkerVerdict::Done, 2);
-    const std::vector<CallWorker> stops = bench.takeStops();
-    REQUIRE(stops.size() == 1);
-    bench.answer(stops[0], WorkerVerdict::Done, 2);
-    bench.pass(100);
-    CHECK(bench.takeStarts().empty());
-}
-
 // Guards against ends and leases that a silent worker's next life takes over unseen.
 TEST_CASE("A silent worker is only asked what it runs: nothing is noted, granted or started there")
 {
