--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -95,6 +95,7 @@
     run.full = step.each;
     run.hasTailTarget = step.isLasting && step.tailTarget > Milliseconds(0);
     run.isBestEffort = step.isBestEffort;
+    run.isLasting = step.isLasting;
     WorkerPool::open(*worker, task, std::move(run));
 }
 
@@ -211,7 +212,7 @@
     worker->isAnnounced = true;
     worker->lastBeat = now;
     worker->lastSequence = call.sequence;
-    WorkerPool::tellClockOfBeat(*worker, now, call.clock);
+    WorkerPool::raiseClock(*worker, now, call.clock);
     for (const WorkerLife &other : replaced)
         m_runs.replaceLife(now, other, life, {}, out);
     answer(origin, taken);
@@ -237,7 +238,7 @@
         worker->lastSequence = beat.sequence;
         const Instant sentAt = now - std::max(beat.age, Milliseconds(0));
         worker->lastBeat = std::max(worker->lastBeat, sentAt);
-        WorkerPool::tellClockOfBeat(*worker, sentAt, beat.clock);
+        WorkerPool::raiseClock(*worker, sentAt, beat.clock);
     }
     return unknown;
 }
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/run_desk.h"
 
+#include "control/jobs/run_names.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -18,47 +20,14 @@
 constexpr Milliseconds StopPause{400};
 /** How often a run that is at work is looked at: a cancelled job's runs are stopped this late. */
 constexpr Milliseconds SettledPause{200};
-/** A worker that fails runs of so many jobs in a row gets no more for a while; one run in fifty
- * fails on sound workers. */
-constexpr std::uint32_t FailuresInRow = 3;
 /** So many orders in a row without an answer, and the worker gets no new ones. */
 constexpr std::uint32_t SilentOrders = 2;
-constexpr Milliseconds FailingPause{4000};
 constexpr Milliseconds RefusedPause{600};
 /** A worker lists its oldest ends first, so many at a time; a longer list may lack newer ones. */
 constexpr std::size_t MostEndsListed = 500;
 /** A worker that has ends which must not be noted answers at once; it is asked this often. */
 constexpr Milliseconds UnnotedPause{300};
 
-std::string nameOf(const JobTaskRef &task)
-{
-    return absl::StrCat(task.step.job.value(), ".", task.step.occurrence, ".", task.step.step, ".",
-                        task.index);
-}
-
-const char *nameOf(RunEnding ending)
-{
-    switch (ending) {
-    case RunEnding::Done:
-        return "done";
-    case RunEnding::Failed:
-        return "failed";
-    case RunEnding::Stopped:
-        return "stopped";
-    case RunEnding::Lapsed:
-        return "lease lapsed";
-    case RunEnding::Broken:
-        return "gang broken";
-    case RunEnding::Alone:
-        return "gang incomplete";
-    case RunEnding::NotStarted:
-        return "not started";
-    case RunEnding::Lost:
-        return "lost";
-    }
-    return "";
-}
-
 } // namespace
 
 RunDesk::RunDesk(Fence fence, const JobBookData &book, WorkerPool &pool, AdviceDesk &advice,
@@ -69,6 +38,7 @@
     , m_advice(advice)
     , m_admission(admission)
     , m_sink(sink)
+    , m_ends(book, pool, sink)
     , m_lastCall(fence.value() << NumberBitsOfLeader)
 {}
 
@@ -131,6 +101,8 @@
         run.mayArriveLate = true;
         run.isStopping = true;
     }
+    if (!moved.empty())
+        WorkerPool::noteForeignLease(*m_pool.find(next), now);
     endLife(old, "another life is at its place", out);
     follow(now, *m_pool.find(next), out);
 }
@@ -299,87 +271,12 @@
     worker.nextHold = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : retryPause);
     if (answer.verdict != WorkerVerdict::Done)
         return;
-    takeEnds(now, worker, answer.ended, out);
+    m_ends.take(now, worker, answer.ended, out);
     if (worker.hasUnnotableEnd)
         worker.nextHold = now + UnnotedPause;
     takeRunning(now, worker, call, answer, out);
 }
 
-void RunDesk::takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
-                       Outbox &out)
-{
-    const WorkerLife life = worker.report.life;
-    for (const EndListed &end : ended) {
-        if (end.number <= worker.recorded)
-            continue;
-        worker.recorded = end.number;
-        RunMeter::endListed(now, worker, end, out);
-        out.note(end.task.step.job.value(),
-                 absl::StrCat("run ended: task=", nameOf(end.task), " run=", end.run.value(),
-                              " worker=", life.worker.value(), " how=", nameOf(end.ending)));
-        if (end.ending == RunEnding::Done) {
-            notePace(now, worker, end);
-            worker.failuresInRow = 0;
-        } else if (end.ending == RunEnding::Failed) {
-            noteFailure(now, worker, end.task.step.job, out);
-        }
-        noteWhetherNotable(worker, end, out);
-        m_sink.apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
-        if (!worker.hasUnnotableEnd) {
-            worker.notable = end.number;
-            m_sink.endsRecorded(life, end.number);
-        }
-    }
-}
-
-void RunDesk::noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out)
-{
-    // Everything that ran was killed after the ends before this one, so none of them was in time.
-    if (end.ending == RunEnding::Lapsed)
-        worker.hasUnnotableEnd = false;
-    const TaskProgress *const progress = jobbook::find(m_book, end.task);
-    const bool counts = end.ending == RunEnding::Done || end.ending == RunEnding::Failed;
-    if (!counts || worker.hasUnnotableEnd || progress == nullptr || progress->lastRun <= end.run)
-        return;
-    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
-    if (step.isLasting)
-        return;
-    worker.hasUnnotableEnd = true;
-    out.count(CellEvent::EndAfterLaterRun);
-    out.add(LogLine{true, end.task.step.job.value(),
-                    absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
-                                 " worker=", worker.report.life.worker.value(),
-                                 " a later run was ordered: run=", progress->lastRun.value())});
-}
-
-void RunDesk::noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
-{
-    if (worker.lastFailed == job && worker.failuresInRow > 0)
-        return;
-    worker.lastFailed = job;
-    if (++worker.failuresInRow < FailuresInRow)
-        return;
-    worker.avoidUntil = now + FailingPause;
-    out.add(LogLine{true, worker.report.life.worker.value(),
-                    absl::StrCat("avoided for a while: runs of jobs that failed in a row=",
-                                 worker.failuresInRow)});
-}
-
-void RunDesk::notePace(Instant now, PooledWorker &worker, const EndListed &end)
-{
-    const auto run = worker.runs.find(end.task);
-    if (run == worker.runs.end() || run->second.run != end.run
-        || !run->second.startedAt.has_value())
-        return;
-    const StepSpec &step = m_book.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
-    // Best-effort runs take as long as others let them.
-    if (step.estimate <= Milliseconds(0) || step.isBestEffort || step.isLasting)
-        return;
-    const Milliseconds taken = now - *run->second.startedAt;
-    worker.pace.note(taken, step.estimate);
-    m_pool.usualPace().note(taken, step.estimate);
-}
-
 void RunDesk::takeRunning(Instant now, PooledWorker &worker, const Call &call,
                           const WorkerAnswer &answer, Outbox &out)
 {
@@ -404,7 +301,9 @@
     }
     std::vector<JobTaskRef> lost;
     for (const auto &[task, run] : worker.runs) {
-        if (!present.contains(task) && call.settled.contains(task) && run.isSettled)
+        const auto settled = call.settled.find(task);
+        const bool wasSettled = settled != call.settled.end() && settled->second == run.run;
+        if (!present.contains(task) && wasSettled && run.isSettled)
             lost.push_back(task);
     }
     for (const JobTaskRef &task : lost)
@@ -464,9 +363,9 @@
         if (run.isStopping || !isWanted(task)) {
             run.isCallInFlight = true;
             orderStop(now, worker, task, run.run, out);
-        } else if (!run.isSettled) {
+        } else if (!run.isSettled && !worker.isFailing) {
             orderStart(now, worker, task, out);
-        } else {
+        } else if (run.isSettled) {
             run.nextAttempt = now + SettledPause;
         }
     }
@@ -480,16 +379,18 @@
 
 void RunDesk::hold(Instant now, PooledWorker &worker, Outbox &out)
 {
+    // A silent worker may have started anew: what it is sent must do its next life no harm.
     const bool waits = !worker.isFailing && worker.clock.has_value();
     Call call{OrderKind::Hold, worker.report.life, {}, {}, {}, 0};
     for (const auto &[task, run] : worker.runs) {
         if (run.isSettled && run.wasSent)
-            call.settled.insert(task);
+            call.settled.emplace(task, run.run);
     }
-    CallWorker effect
-            = callTo(now, worker, OrderHold{worker.noted, waits ? HoldWait : Milliseconds(0)});
-    // A worker that does not answer is granted nothing more, or its lease would never be over.
-    effect.leaseUntil = worker.isFailing ? 0 : WorkerPool::grant(worker, now).value_or(0);
+    CallWorker effect = callTo(now, worker,
+                               OrderHold{worker.isFailing ? EndNumber() : worker.noted,
+                                         waits ? HoldWait : Milliseconds(0)});
+    effect.leaseUntil
+            = WorkerPool::mayRenew(worker) ? WorkerPool::grant(worker, now).value_or(0) : 0;
     effect.timeout = OrderTimeout + (waits ? HoldWait : Milliseconds(0));
     call.leaseUntil = effect.leaseUntil;
     m_calls.emplace(effect.call, std::move(call));
@@ -517,11 +418,12 @@
     // A repetition extends no lease: of a worker that does not answer it would never be over.
     const bool isRepetition = run.startedAt.has_value() && worker.grantedUntil > 0;
     run.wasSent = true;
+    const Job &job = m_book.jobs.at(task.step.job);
+    const Milliseconds length = WorkerPool::leaseLength(worker, job.spec.steps.at(task.step.step));
     const std::optional<std::int64_t> until
-            = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now);
+            = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now, length);
     if (!until.has_value())
         return;
-    const Job &job = m_book.jobs.at(task.step.job);
     CallWorker effect = callTo(now, worker,
                                OrderStart{task, run.run,
                                           std::make_shared<const std::string>(job.spec.payload),
--- a/control/jobs/run_desk.h
+++ b/control/jobs/run_desk.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "control/jobs/advice_desk.h"
+#include "control/jobs/end_recorder.h"
 #include "control/jobs/job_book.h"
 #include "control/jobs/run_meter.h"
+#include "control/jobs/run_sink.h"
 #include "control/jobs/start_admission.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
@@ -17,21 +19,6 @@
  * an earlier one may still come. */
 constexpr int NumberBitsOfLeader = 32;
 
-/** Takes what the orders to workers bring about. */
-class RunSink
-{
-public:
-    RunSink() = default;
-    RunSink(const RunSink &) = delete;
-    RunSink &operator=(const RunSink &) = delete;
-    virtual ~RunSink() = default;
-
-    /** Changes the book, and the log with the next entry. */
-    virtual void apply(JobRecord record) = 0;
-    /** All ends up to \a number were applied; the worker may forget them once they are durable. */
-    virtual void endsRecorded(const WorkerLife &life, EndNumber number) = 0;
-};
-
 /**
  * Follows the runs on workers: orders starts and stops until they are answered, renews leases,
  * takes ends in, and finds out which runs are lost. Thread safety: owned by the control thread.
@@ -72,7 +59,7 @@
         JobTaskRef task;
         RunNumber run;
         /** Runs that were settled when the call left, so that a list without them is proof. */
-        std::set<JobTaskRef> settled;
+        std::map<JobTaskRef, RunNumber> settled;
         /** What the call grants, on the worker's clock; 0 for nothing. */
         std::int64_t leaseUntil = 0;
     };
@@ -88,13 +75,6 @@
     void startAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
     void stopAnswered(Instant now, const Call &call, const WorkerAnswer &answer);
     void holdAnswered(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
-    void takeEnds(Instant now, PooledWorker &worker, const std::vector<EndListed> &ended,
-                  Outbox &out);
-    /** An end that was listed only after a later run was ordered must not be noted: the later run
-     * would be a start after an end that counts. */
-    void noteWhetherNotable(PooledWorker &worker, const EndListed &end, Outbox &out);
-    static void noteFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
-    void notePace(Instant now, PooledWorker &worker, const EndListed &end);
     void takeRunning(Instant now, PooledWorker &worker, const Call &call,
                      const WorkerAnswer &answer, Outbox &out);
     void endRuns(const WorkerLife &life, RunEnding ending, Outbox &out);
@@ -114,6 +94,7 @@
     StartAdmission &m_admission;
     RunSink &m_sink;
     RunMeter m_meter;
+    EndRecorder m_ends;
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall;
 };
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -19,6 +19,8 @@
     Resources full;
     bool hasTailTarget = false;
     bool isBestEffort = false;
+    /** It has no end of its own. */
+    bool isLasting = false;
     /** Its order is durable and was sent, by this leader or an earlier one. */
     bool wasSent = false;
     /** An earlier leader ordered it. */
@@ -57,12 +59,15 @@
     std::int64_t grantedUntil = 0;
     /** The latest lease end in a call that may have reached the worker and is over. */
     std::int64_t heardUntil = 0;
+    /** On this host's clock: until then a lease that an earlier life was granted may hold here. */
+    Instant foreignLeaseUntil;
     /** The newest end that was taken in. */
     EndNumber recorded;
     /** The newest end that the worker may forget once it is durable. */
     EndNumber notable;
     EndNumber noted;
-    /** True if the worker has listed an end after `notable` that it must not forget. */
+    /** True if the worker has listed an end after `notable` that it must not forget. It gets short
+     * leases until one of them lapses while something runs, which ends this. */
     bool hasUnnotableEnd = false;
     bool isHoldInFlight = false;
     Instant nextHold;
@@ -77,6 +82,8 @@
     Instant avoidUntil;
     WorkerPace pace;
 
+    /** How many ends the worker lists again and again. */
+    [[nodiscard]] std::uint64_t endsKept() const { return recorded.value() - noted.value(); }
     [[nodiscard]] Resources room() const
     {
         Resources room = report.capacity;
@@ -93,6 +100,10 @@
      * leaders takes; what ran on a lost worker waits for as long before it runs elsewhere. */
     static constexpr Milliseconds LeaseLength{3000};
 
+    /** The longest lease that a worker takes, whatever it is granted (the platform's
+     * `hold_max_ms`). */
+    static constexpr Milliseconds LongestLease{10'000};
+
     explicit WorkerPool(Instant takenOver)
         : m_takenOver(takenOver)
     {}
@@ -112,18 +123,27 @@
 
     /** Takes the worker's clock in, as told at \a now. */
     static void tellClock(PooledWorker &worker, Instant now, std::int64_t clock);
-    /** Takes the clock of a heartbeat in, unless it was so long on its way that an earlier word
-     * tells more. */
-    static void tellClockOfBeat(PooledWorker &worker, Instant now, std::int64_t clock);
+    /** Takes the clock of a heartbeat that came in at \a at, unless more is known. */
+    static void raiseClock(PooledWorker &worker, Instant at, std::int64_t clock);
     /** The end of a lease granted now, on the worker's clock; nothing if its clock is not known. */
-    static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now);
+    static std::optional<std::int64_t> grant(PooledWorker &worker, Instant now,
+                                             Milliseconds length = LeaseLength);
+    /** False if the worker's lease is to run out. */
+    [[nodiscard]] static bool mayRenew(const PooledWorker &worker);
+    /** How long the lease of a new run of the step is to be there. */
+    [[nodiscard]] static Milliseconds leaseLength(const PooledWorker &worker, const StepSpec &step);
+    /** An order for an earlier life may have reached this one, with a lease by another clock. */
+    static void noteForeignLease(PooledWorker &worker, Instant now);
     /** True if whatever ran on the worker when it last heard of a leader has certainly ended. */
     [[nodiscard]] bool isLapsed(const PooledWorker &worker, Instant now) const;
     /** True if new runs may be ordered there. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
+    /** True if the worker takes runs of the step while its ends can't be noted: a run at a time
+     * that can lapse at little cost, and none once its list is nearly full. */
+    [[nodiscard]] static bool mayLapseOn(const PooledWorker &worker, const StepSpec &step);
 
 private:
-    /** What the worker's clock shows at least. Precondition: it is known. */
+    /** What the worker's clock shows at least. Precondition: it was told. */
     [[nodiscard]] static std::int64_t leastClock(const PooledWorker &worker, Instant now);
 
     Instant m_takenOver;
