Wait for a keeper's answer as long as its order may have waited there

What callers saw: nothing yet; found by looking for the cause of the collapse under load elsewhere. A leader took a delay of its keeper for the silence of a worker.

Cause: the leader gave an order up 0.3 s after the call's time, counted from when it handed the order on. The keeper may send it up to 0.4 s later and then waits for the call's whole time. An answer that came 1.05 s after such an order (call: 0.7 s) was dropped; the start was repeated, and after the second one the worker counted as silent.

Evidence: order_dispatcher_test failed before:

order_dispatcher_test.cpp:176: FAILED: CHECK( leader.dispatcher.takeOverdue(leader.now).empty() ) false order_dispatcher_test.cpp:177: FAILED: CHECK( leader.answer(1) ) false

Change: the time counts from the end of the order's validity. A keeper that says nothing for 0.6 s still loses its orders at once.

--- a/control/jobs/order_dispatcher.cpp
+++ b/control/jobs/order_dispatcher.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds ClockAge{2000};
 /** A keeper that takes a snapshot in, or has no processor time, needs about so long. */
 constexpr Milliseconds SlowKeeperPause{2000};
-/** What passing an order on and its answer back may take beyond the call itself. */
+/** What passing an answer back may take beyond the order's validity and its call. */
 constexpr Milliseconds RelaySlack{300};
 
 /** Rendezvous hashing: a keeper that comes or goes moves only its own workers. */
@@ -104,7 +104,8 @@
             continue;
         }
         const Keeper &keeper = m_keepers.at(*host);
-        m_open.emplace(call->call, Open{*host, keeper.session, now + call->timeout + RelaySlack});
+        const Instant until = call->validUntil + call->timeout + RelaySlack;
+        m_open.emplace(call->call, Open{*host, keeper.session, until});
         // The keeper's clock showed `clock` before `clockAt` came to pass here, so this is early.
         call->validUntil = keeper.clock + (call->validUntil - keeper.clockAt);
         batches[*host].session = keeper.session;
--- a/tests/control/jobs/order_dispatcher_test.cpp
+++ b/tests/control/jobs/order_dispatcher_test.cpp
@@ -160,6 +160,23 @@
     CHECK_FALSE(leader.answer(2));
 }
 
+// Guards against a leader that takes the time an order waited at its keeper for the worker's
+// silence.
+TEST_CASE("An order that left at the end of its validity has its whole time for an answer")
+{
+    Leader leader;
+    leader.introduce("k1");
+    leader.dispatch({"w"});
+    for (int step = 0; step < 2; ++step) {
+        leader.now = leader.now + Milliseconds(500);
+        leader.introduce("k1");
+    }
+    // 390 ms until its bytes left, 660 ms until the answer.
+    leader.now = leader.now + Milliseconds(50);
+    CHECK(leader.dispatcher.takeOverdue(leader.now).empty());
+    CHECK(leader.answer(1));
+}
+
 TEST_CASE("An order's validity is told on the keeper's clock, never later than on the leader's")
 {
     // Pattern: a process that was paused acted on a permission that had run out meanwhile.
