--- a/tests/control/jobs/leader_overload_test.cpp
+++ b/tests/control/jobs/leader_overload_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/control/jobs/leader_bench.h"
 #include "tests/control/jobs/loaded_cell.h"
 
 #include <catch2/catch.hpp>
@@ -65,3 +66,40 @@
     CHECK(burst.doneInBurst > 4 * 1400 * 0.7);
     CHECK(cell.sender().longestWait() < milliseconds(20));
 }
+
+// Guards against a second run of a task that was done: a loaded leader had taken its run for lapsed
+// while the list that told its end was under way.
+TEST_CASE("An end is not noted if its list was under way when the task was started elsewhere")
+{
+    const std::string job = "00000000000000aa";
+    constexpr EndNumber End{4};
+    LeaderBench bench;
+    bench.configure();
+    bench.pass(8000);
+    bench.beat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    std::vector<CallWorker> elsewhere;
+    for (int step = 0; elsewhere.empty() && step < 120; ++step) {
+        bench.pass(100);
+        bench.beat("w");
+        // From some moment on the worker's answers are under way.
+        constexpr int SilentSteps = 20;
+        if (const auto hold = step < SilentSteps ? bench.takeHold("v") : std::nullopt)
+            bench.answer(*hold, WorkerVerdict::NoAnswer);
+        elsewhere = bench.takeStarts();
+    }
+    REQUIRE(elsewhere.size() == 1);
+    REQUIRE(elsewhere[0].life.worker.value() == "w");
+    bench.answer(elsewhere[0], WorkerVerdict::Done);
+    bench.answerHold("v", {}, {{End, makeTask(job, 0, 0), RunNumber(1), RunEnding::Done, {}}});
+    // Something runs on all workers, so that they are asked what does.
+    bench.beat("v");
+    bench.submit("00000000000000bb", {makeStep(17, 100)});
+    for (const CallWorker &start : bench.takeStarts())
+        bench.answer(start, WorkerVerdict::Done);
+    bench.pass(1000);
+    const std::optional<CallWorker> hold = bench.takeHold("v");
+    REQUIRE(hold.has_value());
+    CHECK(std::get<OrderHold>(hold->order).noted < End);
+}
