--- a/control/jobs/start_admission.cpp
+++ b/control/jobs/start_admission.cpp
@@ -47,7 +47,7 @@
     if (m_leastDelay > m_terms.targetDelay || m_hadUnsent)
         m_limit = std::max(std::min(m_limit, least), m_limit - m_limit / 4);
     else if (m_wasFull)
-        m_limit = std::min(m_terms.mostLimit, m_limit + m_terms.increase);
+        m_limit = std::min(m_terms.mostLimit, m_limit + m_limit / 4);
     m_intervalEnd = now + m_terms.interval;
     m_answers = 0;
     m_wasFull = m_underWay.size() >= m_limit;
--- a/control/jobs/start_admission.h
+++ b/control/jobs/start_admission.h
@@ -42,13 +42,11 @@
     /** The least that orders lead to which were too old to be sent. */
     std::size_t leastLimit = 32;
     std::size_t mostLimit = 4096;
-    /** What an interval adds in which the limit was reached. */
-    std::size_t increase = 32;
 };
 
 /**
- * Adapts the limit to the measured delay of answers: additive increase while the limit is in use
- * and the fastest answers come in time, multiplicative decrease while even these are late. A slow
+ * Adapts the limit to the measured delay of answers: a quarter more while the limit is in use and
+ * the fastest answers come in time, a quarter less while even these are late. A slow
  * worker makes some answers late; a host without processor time, all of them.
  * Thread safety: owned by the control thread.
  */
