--- a/tests/control/jobs/loaded_sender.cpp
+++ b/tests/control/jobs/loaded_sender.cpp
@@ -110,7 +110,7 @@
     finish(id, none, false);
 }
 
-void LoadedSender::finish(CallId id, WorkerAnswer answer, bool keepsConnection)
+void LoadedSender::finish(CallId id, const WorkerAnswer &answer, bool keepsConnection)
 {
     const auto open = m_open.find(id);
     if (keepsConnection)
--- a/tests/control/jobs/loaded_sender.h
+++ b/tests/control/jobs/loaded_sender.h
@@ -39,7 +39,7 @@
     void begin(CallId id);
     void send(CallId id);
     void expire(CallId id);
-    void finish(CallId id, WorkerAnswer answer, bool keepsConnection);
+    void finish(CallId id, const WorkerAnswer &answer, bool keepsConnection);
     [[nodiscard]] bool isTooOld(const CallWorker &call) const;
     void post(VirtualTime::Span work, VirtualTime::Action action);
 
