Let a lease lapse for ends that can't be noted only when their list gets long

What callers saw: nothing yet.

Cause: the list of ends is short for a long time; only from 500 on do newer ends go missing.

Change: such a worker works as before until 200 ends are kept. Then it gets nothing new until it is empty, and then one run that may lapse. A worker with lasting work goes on up to 400 and keeps that work.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -96,6 +96,7 @@
     run.hasTailTarget = step.isLasting && step.tailTarget > Milliseconds(0);
     run.isBestEffort = step.isBestEffort;
     run.isLasting = step.isLasting;
+    run.isToLapse = WorkerPool::isToLapse(*worker, step);
     WorkerPool::open(*worker, task, std::move(run));
 }
 
@@ -311,7 +312,7 @@
         const auto job = m_book.jobs.find(id);
         if (job == m_book.jobs.end())
             continue;
-        if (jobbook::hasOpenRun(job->second)) {
+        if (jobbook::hasOpenRun(job->second) || m_pool.keepsEndOf(id)) {
             m_ended.emplace_back(m_now, id);
             continue;
         }
--- a/control/jobs/end_recorder.cpp
+++ b/control/jobs/end_recorder.cpp
@@ -58,6 +58,7 @@
     if (!counts || worker.hasUnnotableEnd || !mustBeKept(end))
         return;
     worker.hasUnnotableEnd = true;
+    worker.unnotableOf = end.task.step.job;
     out.count(CellEvent::EndAfterLaterRun);
     out.add(LogLine{true, end.task.step.job.value(),
                     absl::StrCat("end not noted: task=", nameOf(end.task), " run=", end.run.value(),
--- a/control/jobs/run_desk.cpp
+++ b/control/jobs/run_desk.cpp
@@ -419,7 +419,7 @@
     const bool isRepetition = run.startedAt.has_value() && worker.grantedUntil > 0;
     run.wasSent = true;
     const Job &job = m_book.jobs.at(task.step.job);
-    const Milliseconds length = WorkerPool::leaseLength(worker, job.spec.steps.at(task.step.step));
+    const Milliseconds length = WorkerPool::leaseLength(run, job.spec.steps.at(task.step.step));
     const std::optional<std::int64_t> until
             = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now, length);
     if (!until.has_value())
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -89,7 +89,7 @@
         return false;
     if (step.isBestEffort && worker.tailTargets > 0)
         return false;
-    if (worker.hasUnnotableEnd && !WorkerPool::mayLapseOn(worker, step))
+    if (!WorkerPool::mayTake(worker, step))
         return false;
     const std::vector<std::string> &labels = worker.report.labels;
     if (!step.requiredLabel.empty()
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -18,6 +18,8 @@
 
 /** A list of 500 ends may lack newer ones. */
 constexpr std::uint64_t MostEndsKept = 400;
+/** Work is lost when a lease lapses, so that it waits until the list gets long. */
+constexpr std::uint64_t EndsKeptBeforeLapse = 200;
 /** A lease that is to lapse: time for the start to arrive, and for little work to be lost. */
 constexpr Milliseconds ShortestLease{100};
 constexpr Milliseconds LongestLapsingLease{600};
@@ -115,29 +117,46 @@
     return leastClock(worker, now) - ClockMargin > worker.grantedUntil;
 }
 
+bool WorkerPool::isDueToLapse(const PooledWorker &worker)
+{
+    return worker.hasUnnotableEnd && worker.endsKept() >= EndsKeptBeforeLapse;
+}
+
+bool WorkerPool::keepsEndOf(const JobId &job) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&job](const auto &entry) {
+        return entry.second.hasUnnotableEnd && entry.second.unnotableOf == job;
+    });
+}
+
 bool WorkerPool::mayRenew(const PooledWorker &worker)
 {
     // The lease of a worker that does not answer would never be over.
     if (worker.isFailing)
         return false;
-    if (!worker.hasUnnotableEnd)
-        return true;
-    const bool hasLasting = std::any_of(worker.runs.begin(), worker.runs.end(),
-                                        [](const auto &entry) { return entry.second.isLasting; });
-    return hasLasting && worker.endsKept() < MostEndsKept;
+    return !isDueToLapse(worker)
+            || std::any_of(worker.runs.begin(), worker.runs.end(),
+                           [](const auto &entry) { return !entry.second.isToLapse; });
+}
+
+bool WorkerPool::isToLapse(const PooledWorker &worker, const StepSpec &step)
+{
+    return isDueToLapse(worker) && worker.runs.empty() && !step.isLasting && !step.isGang;
 }
 
-Milliseconds WorkerPool::leaseLength(const PooledWorker &worker, const StepSpec &step)
+Milliseconds WorkerPool::leaseLength(const OpenRun &run, const StepSpec &step)
 {
-    if (!worker.hasUnnotableEnd || step.isLasting)
-        return LeaseLength;
-    return std::clamp(step.estimate / 2, ShortestLease, LongestLapsingLease);
+    return run.isToLapse ? std::clamp(step.estimate / 2, ShortestLease, LongestLapsingLease)
+                         : LeaseLength;
 }
 
-bool WorkerPool::mayLapseOn(const PooledWorker &worker, const StepSpec &step)
+bool WorkerPool::mayTake(const PooledWorker &worker, const StepSpec &step)
 {
-    return worker.runs.empty() && worker.endsKept() < MostEndsKept && !step.isLasting
-            && !step.isGang;
+    if (!isDueToLapse(worker))
+        return true;
+    const bool hasLasting = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                        [](const auto &entry) { return entry.second.isLasting; });
+    return worker.endsKept() < MostEndsKept && (hasLasting || isToLapse(worker, step));
 }
 
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -21,6 +21,8 @@
     bool isBestEffort = false;
     /** It has no end of its own. */
     bool isLasting = false;
+    /** Its lease is not renewed, so that the worker's ends can be noted again. */
+    bool isToLapse = false;
     /** Its order is durable and was sent, by this leader or an earlier one. */
     bool wasSent = false;
     /** An earlier leader ordered it. */
@@ -66,9 +68,11 @@
     /** The newest end that the worker may forget once it is durable. */
     EndNumber notable;
     EndNumber noted;
-    /** True if the worker has listed an end after `notable` that it must not forget. It gets short
-     * leases until one of them lapses while something runs, which ends this. */
+    /** True if the worker has listed an end after `notable` that it must not forget. It ends with a
+     * lease that lapses while something runs. */
     bool hasUnnotableEnd = false;
+    /** Whose end that is; the book has to tell a successor why it must not be noted. */
+    JobId unnotableOf;
     bool isHoldInFlight = false;
     Instant nextHold;
     /** True from a call without an answer to the next answer. */
@@ -130,19 +134,25 @@
                                              Milliseconds length = LeaseLength);
     /** False if the worker's lease is to run out. */
     [[nodiscard]] static bool mayRenew(const PooledWorker &worker);
+    /** True if a new run of the step there is to lapse: the list of ends that can't be noted is
+     * long, and nothing else is lost. */
+    [[nodiscard]] static bool isToLapse(const PooledWorker &worker, const StepSpec &step);
     /** How long the lease of a new run of the step is to be there. */
-    [[nodiscard]] static Milliseconds leaseLength(const PooledWorker &worker, const StepSpec &step);
+    [[nodiscard]] static Milliseconds leaseLength(const OpenRun &run, const StepSpec &step);
     /** An order for an earlier life may have reached this one, with a lease by another clock. */
     static void noteForeignLease(PooledWorker &worker, Instant now);
+    /** True if a worker keeps an end of the job that must not be noted. */
+    [[nodiscard]] bool keepsEndOf(const JobId &job) const;
     /** True if whatever ran on the worker when it last heard of a leader has certainly ended. */
     [[nodiscard]] bool isLapsed(const PooledWorker &worker, Instant now) const;
     /** True if new runs may be ordered there. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
-    /** True if the worker takes runs of the step while its ends can't be noted: a run at a time
-     * that can lapse at little cost, and none once its list is nearly full. */
-    [[nodiscard]] static bool mayLapseOn(const PooledWorker &worker, const StepSpec &step);
+    /** False if the worker's list of ends that can't be noted is too long for a run of the step. */
+    [[nodiscard]] static bool mayTake(const PooledWorker &worker, const StepSpec &step);
 
 private:
+    /** True if the worker gets no new work but a run whose lease is to lapse. */
+    [[nodiscard]] static bool isDueToLapse(const PooledWorker &worker);
     /** What the worker's clock shows at least. Precondition: it was told. */
     [[nodiscard]] static std::int64_t leastClock(const PooledWorker &worker, Instant now);
 
