Elect no leader beside one that a restarted voter has just heard

What callers saw: nothing yet; operators of similar systems report two processes that both acted around a hand-over.

Cause: a leader acts for 0.5 s after a message that a quorum has answered, since none of those helps elect another one within 0.6 s. A voter that starts again has forgotten that it answered, and its pre-vote counted at once.

Change: a pre-vote says whether its voter started less than 0.6 s ago. A candidate stands with a quorum of those that remember, or with the pre-votes of all voters, a former leader among them. So a cell that loses all power and comes back whole elects as fast as before; one that comes back in part waits until its voters remember enough.

The set-up of agreement_test 'An entry of an earlier term...' has the pre-votes of both others now, since its voter has just started; its checks are unchanged.

--- a/control/agreement.cpp
+++ b/control/agreement.cpp
@@ -65,10 +65,12 @@
 void Agreement::recovered(Instant now, bool fresh)
 {
     m_first.setFresh(fresh);
+    if (!fresh)
+        m_restartedAt = now;
     m_synced.restart(m_log.lastIndex());
     refreshMembership();
     // After a restart there may be no leader to wait for; if there is one, its voters refuse the
-    // pre-vote.
+    // pre-vote or don't answer all.
     std::uniform_int_distribution<std::int64_t> spread(0, m_timing.electionSpread.value());
     m_electionDeadline
             = now + m_timing.electionLeast / RestartDivisor + Milliseconds(spread(m_random));
@@ -113,6 +115,11 @@
     return m_leader.has_value() && now - m_lastContact < m_timing.electionLeast;
 }
 
+bool Agreement::mayHaveForgotten(Instant now) const
+{
+    return m_restartedAt.has_value() && now - *m_restartedAt < m_timing.electionLeast;
+}
+
 void Agreement::resetElectionTimer(Instant now)
 {
     std::uniform_int_distribution<std::int64_t> spread(0, m_timing.electionSpread.value());
@@ -133,8 +140,10 @@
     m_role = Role::PreCandidate;
     m_leader.reset();
     m_ballot.beginCount();
+    if (mayHaveForgotten(now))
+        m_ballot.noteForgetful(m_identity.replica);
     resetElectionTimer(now);
-    if (m_ballot.isWon(m_membership)) {
+    if (m_ballot.isLeaderless(m_membership)) {
         startElection(now, out);
         return;
     }
@@ -175,7 +184,8 @@
         const bool granted = message.term > term() && upToDate && !isLeader() && !hasContact(now);
         // A refusal tells this host's term: a candidate that lags in terms could never win else.
         const Term told = granted ? message.term : term();
-        out.sendAfterSync(from, VoteReply{m_identity.replica, told, granted, true});
+        out.sendAfterSync(
+                from, VoteReply{m_identity.replica, told, granted, true, mayHaveForgotten(now)});
         return;
     }
     if (message.term > term())
@@ -185,7 +195,7 @@
     const bool granted = mayGive && m_ballot.give(message.candidate, out);
     if (granted && isFirst)
         resetElectionTimer(now);
-    out.sendAfterSync(from, VoteReply{m_identity.replica, term(), granted, false});
+    out.sendAfterSync(from, VoteReply{m_identity.replica, term(), granted, false, false});
 }
 
 void Agreement::receive(Instant now, const HostId &, const VoteReply &message, Outbox &out)
@@ -201,11 +211,11 @@
     if (!awaited)
         return;
     m_ballot.count(message.voter);
-    if (!m_ballot.isWon(m_membership))
-        return;
-    if (message.preVote)
+    if (message.mayHaveForgotten)
+        m_ballot.noteForgetful(message.voter);
+    if (message.preVote && m_ballot.isLeaderless(m_membership))
         startElection(now, out);
-    else
+    else if (!message.preVote && m_ballot.isWon(m_membership))
         becomeLeader(now, out);
 }
 
--- a/control/agreement.h
+++ b/control/agreement.h
@@ -155,6 +155,8 @@
     enum class Role { Follower, PreCandidate, Candidate, Leader };
 
     [[nodiscard]] bool hasContact(Instant now) const;
+    /** True if this host may have heard a leader before its start that acts on that still. */
+    [[nodiscard]] bool mayHaveForgotten(Instant now) const;
     void resetElectionTimer(Instant now);
     void follow(Instant now, Term term, std::optional<HostId> leader, Outbox &out);
     void startPreVote(Instant now, Outbox &out);
@@ -204,6 +206,8 @@
 
     Instant m_electionDeadline;
     Instant m_lastContact;
+    /** When this host took its durable records up again; nothing for a new store. */
+    std::optional<Instant> m_restartedAt;
     Instant m_confirmedContact;
     ReplicationProgress m_progress;
     std::vector<AppliedEntry> m_newlyApplied;
--- a/control/ballot.cpp
+++ b/control/ballot.cpp
@@ -2,6 +2,9 @@
 
 #include "control/voting.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace gentiancross {
 
 void Ballot::adopt(Term term, Outbox &out)
@@ -33,4 +36,16 @@
     return voting::isQuorum(membership, m_votes);
 }
 
+bool Ballot::isLeaderless(const Membership &membership) const
+{
+    const auto hasVote = [this](const ReplicaId &voter) { return m_votes.contains(voter); };
+    if (std::all_of(membership.voters.begin(), membership.voters.end(), hasVote)
+        && std::all_of(membership.outgoing.begin(), membership.outgoing.end(), hasVote))
+        return true;
+    std::set<ReplicaId> remembering;
+    std::set_difference(m_votes.begin(), m_votes.end(), m_forgetful.begin(), m_forgetful.end(),
+                        std::inserter(remembering, remembering.end()));
+    return voting::isQuorum(membership, remembering);
+}
+
 } // namespace gentiancross
--- a/control/ballot.h
+++ b/control/ballot.h
@@ -33,16 +33,26 @@
     bool give(const ReplicaId &candidate, Outbox &out);
 
     /** Begins to count votes, its own first; those counted before are void. */
-    void beginCount() { m_votes = {m_self}; }
+    void beginCount()
+    {
+        m_votes = {m_self};
+        m_forgetful.clear();
+    }
     void count(const ReplicaId &voter) { m_votes.insert(voter); }
+    /** The voter's word for a leader's silence reaches back to its own start only. */
+    void noteForgetful(const ReplicaId &voter) { m_forgetful.insert(voter); }
     void stopCount() { m_votes.clear(); }
     /** True if the votes counted are a quorum. */
     [[nodiscard]] bool isWon(const Membership &membership) const;
+    /** True if the pre-votes counted show that no leader acts any more: a quorum remembers, or all
+     * voters, a former leader among them, say so. */
+    [[nodiscard]] bool isLeaderless(const Membership &membership) const;
 
 private:
     ReplicaId m_self;
     VoteRecord m_given;
     std::set<ReplicaId> m_votes;
+    std::set<ReplicaId> m_forgetful;
 };
 
 } // namespace gentiancross
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -49,11 +49,13 @@
     Term term;
     bool granted = false;
     bool preVote = false;
+    /** The voter has started so recently that it may have promised a leader not to replace it. */
+    bool mayHaveForgotten = false;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.voter, self.term, self.granted, self.preVote);
+        return std::tie(self.voter, self.term, self.granted, self.preVote, self.mayHaveForgotten);
     }
 };
 
--- a/tests/control/agreement_input_test.cpp
+++ b/tests/control/agreement_input_test.cpp
@@ -68,8 +68,8 @@
             flush();
         }
         // Each election that it stands for has a higher term; the newest request says which.
-        receive(VoteReply{replicaB, Term(agreement.term().value() + 1), true, true});
-        receive(VoteReply{replicaB, agreement.term(), true, false});
+        receive(VoteReply{replicaB, Term(agreement.term().value() + 1), true, true, false});
+        receive(VoteReply{replicaB, agreement.term(), true, false, false});
         REQUIRE(agreement.isLeader());
     }
 
--- a/tests/control/agreement_test.cpp
+++ b/tests/control/agreement_test.cpp
@@ -383,10 +383,13 @@
         agreement.tick(now, voter.out);
         voter.flush(messages);
     }
-    agreement.receive(now, HostId("b"), VoteReply{ReplicaId("b#d-1"), Term(4), true, true},
-                      voter.out);
+    for (const char *host : {"b", "c"}) {
+        const ReplicaId replica(std::string(host) + "#d-1");
+        agreement.receive(now, HostId(host), VoteReply{replica, Term(4), true, true, false},
+                          voter.out);
+    }
     voter.flush(messages);
-    agreement.receive(now, HostId("b"), VoteReply{ReplicaId("b#d-1"), Term(4), true, false},
+    agreement.receive(now, HostId("b"), VoteReply{ReplicaId("b#d-1"), Term(4), true, false, false},
                       voter.out);
     voter.flush(messages);
     REQUIRE(agreement.isLeader());
