Let the limit of starts grow whenever a start is left out

Cause: the limit grew only when as many orders as it allows were under way at once. Starts wait for their log entry before they are ordered, so the planner left starts out at a limit of 200 that never counted as reached; the log has no change of it after 8.2 s.

Change: the planner says when it leaves a start out.

The fuzz test's clock is multiplied in the wider type, as the linter asks.

--- a/control/jobs/start_admission.cpp
+++ b/control/jobs/start_admission.cpp
@@ -43,7 +43,7 @@
 
 void DelayAdmission::adapt(Instant now)
 {
-    const std::size_t least = m_hadUnsent ? m_terms.leastLimit : m_terms.firstLimit;
+    const std::size_t least = m_hadUnsent ? m_terms.leastLimit : m_terms.lateLimit;
     if (m_leastDelay > m_terms.targetDelay || m_hadUnsent)
         m_limit = std::max(std::min(m_limit, least), m_limit - m_limit / 4);
     else if (m_wasFull)
--- a/control/jobs/start_admission.h
+++ b/control/jobs/start_admission.h
@@ -20,6 +20,8 @@
     [[nodiscard]] virtual std::size_t limit() const = 0;
     /** How many more starts may be decided at \a now. */
     [[nodiscard]] virtual std::size_t room(Instant now) const = 0;
+    /** A start was left out for which there was no room. */
+    virtual void heldBack() = 0;
     /** A start leaves the control thread for the first time. */
     virtual void ordered(Instant now, CallId call) = 0;
     /** Any call is over. */
@@ -36,9 +38,11 @@
     /** An order that is older has left or was returned unsent; it waits for its worker, not here.
      */
     Milliseconds validity{400};
-    /** The limit of a new leader, and the least that late answers lead to: a slow link delays
-     * answers too, and 128 orders leave within their validity at 320 a second. */
+    /** The limit of a new leader. */
     std::size_t firstLimit = 128;
+    /** The least that late answers lead to: a slow link delays answers too, and 128 orders leave
+     * within their validity at 320 a second. */
+    std::size_t lateLimit = 128;
     /** The least that orders lead to which were too old to be sent. */
     std::size_t leastLimit = 32;
     std::size_t mostLimit = 4096;
@@ -57,6 +61,7 @@
 
     [[nodiscard]] std::size_t limit() const override { return m_limit; }
     [[nodiscard]] std::size_t room(Instant now) const override;
+    void heldBack() override { m_wasFull = true; }
     void ordered(Instant now, CallId call) override;
     void answered(Instant now, CallId call, WorkerVerdict verdict) override;
 
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -237,8 +237,11 @@
 
 bool StartPlanner::isAdmitted()
 {
-    m_isHeldBack = m_isHeldBack || m_startsLeft == 0;
-    return m_startsLeft > 0;
+    if (m_startsLeft > 0)
+        return true;
+    m_isHeldBack = true;
+    m_admission.heldBack();
+    return false;
 }
 
 bool StartPlanner::placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
--- a/tests/control/jobs/cell_fuzz_test.cpp
+++ b/tests/control/jobs/cell_fuzz_test.cpp
@@ -96,7 +96,7 @@
         beat.report.pool = PoolId("pool");
         beat.report.address = "w" + std::to_string(round % 3) + ":1";
         beat.report.capacity = {MilliCores(2000), Mebibytes(5000), Accelerators(0), Slots(0)};
-        beat.clock = round * 100;
+        beat.clock = std::int64_t(round) * 100;
         beat.sequence = static_cast<std::uint64_t>(round) + 1;
         m_group.call(host, beat);
     }
