--- a/control/jobs/start_admission.h
+++ b/control/jobs/start_admission.h
@@ -31,8 +31,9 @@
 /** The settings of `DelayAdmission`. */
 struct AdmissionTerms
 {
-    /** Later answers than this, all of them, come from a host that is loaded. */
-    Milliseconds targetDelay{100};
+    /** Later answers than this, all of them, come from a host that is loaded: half an order's
+     * validity, the other half is for the network and the worker. */
+    Milliseconds targetDelay{200};
     /** How often the limit changes. */
     Milliseconds interval{100};
     /** An order that is older has left or was returned unsent; it waits for its worker, not here.
