--- a/tests/servers/message_fuzz_test.cpp
+++ b/tests/servers/message_fuzz_test.cpp
@@ -136,7 +136,7 @@
 
     void request()
     {
-        static const std::array<std::array<std::string, 3>, 8> Requests = {
+        static const std::array<std::array<std::string, 3>, 8> requests = {
                 {{"POST", "/v1/requests",
                   R"({"kind":"short","payload":"x","resources":)"
                   R"({"millicores":100,"memory_mib":5},"deadline_ms":900,)"
@@ -154,7 +154,7 @@
                  {"PUT", "/v1/wait-limits/batch", R"({"team":"t","urgent":true,"limit_ms":1000})"},
                  {"GET", "/v1/report", ""},
                  {"DELETE", "/v1/requests/hobart:t:first", ""}}};
-        const auto &[method, path, body] = Requests.at(m_mutator.below(Requests.size()));
+        const auto &[method, path, body] = requests.at(m_mutator.below(requests.size()));
         HttpRequest request;
         request.method = method;
         request.path = m_mutator.below(6) == 0 ? m_mutator.mutate(path) : path;
--- a/tests/servers/message_mutator.cpp
+++ b/tests/servers/message_mutator.cpp
@@ -15,7 +15,7 @@
 constexpr int TreeNesting = 300;
 constexpr std::size_t LongText = 5000;
 
-const std::array<std::string, 8> HostileTexts
+const std::array<std::string, 8> hostileTexts
         = {"-1",  "1e999",       "18446744073709551616", "\"\xff\xfe\xc3\"", "{\"a\":1,\"a\":2}",
            "NaN", "\"\\ud800\"", std::string(1, '\0')};
 
@@ -115,7 +115,7 @@
             text[at] = static_cast<char>(below(Bytes));
         return text;
     case 2:
-        return text.insert(at, HostileTexts.at(below(HostileTexts.size())));
+        return text.insert(at, hostileTexts.at(below(hostileTexts.size())));
     case 3:
         return text.erase(at, below(text.size() + 1));
     case 4:
