Invalidate orders for a worker's former incarnation by a higher fencing token

A worker that starts again under its name has seen no fence, so an order for its former incarnation that arrives late is carried out, beside what the leader orders there: a start of a run that was given up, or an acknowledgement that drops ends nobody has seen.

Orders now carry a revision below the leader's fence; the platform gets both as one number. The leader raises it for a worker whose next incarnation it learns of, and after an acknowledgement without an answer. The next incarnation is only polled, and gets no run, until it has listed its runs under the new token.

Two of the tests fail on: no poll of the next incarnation before its first start, and the same token before and after. The third guards the revision itself: a worker that was given up and registers again has seen the former ones. wire_test checks the whole text of orders as before, with a revision in the token. The model's workers state their incarnation only in lists, as the platform does, and can be told how late calls are executed.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -93,10 +93,17 @@
         listed.insert(each.task);
     std::map<JobTaskRef, RunNumber> moved;
     for (const auto &[task, run] : worker->runs) {
-        const bool mayArrive = run.wasSent && (!run.wasAcknowledged || run.mayArriveLate);
-        if (old.worker == next.worker && (mayArrive || listed.contains(task)))
+        const bool mayBeThere = run.wasSent && (!run.wasAcknowledged || run.mayArriveLate);
+        if (old.worker == next.worker && (mayBeThere || listed.contains(task)))
             moved.emplace(task, run.run);
     }
+    if (old.worker == next.worker) {
+        // Orders for the former incarnation that are still in flight must not reach the next one.
+        PooledWorker &successor = *m_pool.find(next);
+        m_pool.raiseRevision(successor);
+        successor.isUnverified = true;
+        successor.nextLeaseRenewal = now;
+    }
     for (const auto &[task, number] : moved) {
         out.note(task.step.job.value(),
                  absl::StrCat("run may be executing in the next incarnation: task=", nameOf(task),
@@ -128,6 +135,12 @@
         return;
     if (call.kind == OrderKind::LeaseRenewal)
         worker->isLeaseRenewalInFlight = false;
+    apply(now, *worker, call, answer, out);
+}
+
+void RunTracker::apply(Instant now, PooledWorker &worker, const Call &call,
+                       const WorkerAnswer &answer, Outbox &out)
+{
     const bool isOtherIncarnation = answer.born.has_value() && *answer.born > call.incarnation.born;
     if (answer.verdict == WorkerVerdict::OtherIncarnation || isOtherIncarnation) {
         handleOtherIncarnation(now, call, answer, out);
@@ -137,8 +150,8 @@
         handleNotSent(now, call, out);
         return;
     }
-    worker->deliveredLeaseUntil = std::max(worker->deliveredLeaseUntil, call.leaseUntil);
-    recordAnswer(now, *worker, call, answer, out);
+    worker.deliveredLeaseUntil = std::max(worker.deliveredLeaseUntil, call.leaseUntil);
+    recordAnswer(now, worker, call, answer, out);
     if (call.kind == OrderKind::Start)
         handleStartAnswer(now, call, answer, out);
     else if (call.kind == OrderKind::Stop)
@@ -206,8 +219,13 @@
                         "worker did not answer: " + answer.error});
         // A single order may be lost in transit; a missing list is stronger evidence of a failure.
         if (call.kind == OrderKind::LeaseRenewal
-            || ++worker.unansweredOrders >= MaxUnansweredOrders)
+            || ++worker.unansweredOrders >= MaxUnansweredOrders) {
             worker.isFailing = true;
+            worker.isUnverified = true;
+        }
+        // The next incarnation must refuse the acknowledgement once it has executed a start.
+        if (call.acknowledgedEnd > CompletionNumber())
+            m_pool.raiseRevision(worker);
         return;
     }
     worker.unansweredOrders = 0;
@@ -285,6 +303,7 @@
             = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : retryDelay);
     if (answer.verdict != WorkerVerdict::Done)
         return;
+    worker.isUnverified = false;
     m_ends.recordEnds(now, worker, answer.ended, out);
     if (worker.hasUnacknowledgeableEnd)
         worker.nextLeaseRenewal = now + WithheldEndPollInterval;
@@ -378,7 +397,7 @@
         if (run.isStopping || !isWanted(task)) {
             run.isCallInFlight = true;
             orderStop(now, worker, task, run.run, out);
-        } else if (!run.wasAcknowledged && !worker.isFailing) {
+        } else if (!run.wasAcknowledged && !worker.isOnlyPolled()) {
             orderStart(now, worker, task, out);
         } else if (run.wasAcknowledged) {
             run.nextAttempt = now + ExecutingCheckInterval;
@@ -388,32 +407,28 @@
     if (worker.isLeaseRenewalInFlight || now < worker.nextLeaseRenewal || hasPendingAcknowledgement)
         return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
-    if (!worker.runs.empty() || !worker.clock.has_value() || worker.isFailing)
+    if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled())
         renewLease(now, worker, out);
 }
 
 void RunTracker::renewLease(Instant now, PooledWorker &worker, Outbox &out)
 {
-    // A silent worker may have restarted, and its next incarnation would take the order as its own.
-    // So the order grants no lease, acknowledges no ends and is no long poll.
-    const bool isLongPoll = !worker.isFailing && worker.clock.has_value();
-    Call call{OrderKind::LeaseRenewal, worker.report.incarnation, {}, {}, {}, 0};
+    const bool isLongPoll = !worker.isOnlyPolled() && worker.clock.has_value();
+    Call call;
     for (const auto &[task, run] : worker.runs) {
         if (run.wasAcknowledged && run.wasSent)
             call.acknowledged.emplace(task, run.run);
     }
-    CallWorker effect = makeCall(
-            now, worker,
-            OrderLeaseRenewal{worker.isFailing ? CompletionNumber() : worker.acknowledgedEnd,
-                              isLongPoll ? RenewalPollWait : Milliseconds(0)});
+    if (!worker.isOnlyPolled())
+        call.acknowledgedEnd = worker.acknowledgedEnd;
+    CallWorker effect = makeCall(now, worker,
+                                 OrderLeaseRenewal{call.acknowledgedEnd,
+                                                   isLongPoll ? RenewalPollWait : Milliseconds(0)});
     effect.leaseUntil
             = WorkerPool::mayRenew(worker) ? WorkerPool::grant(worker, now).value_or(0) : 0;
     effect.timeout = OrderTimeout + (isLongPoll ? RenewalPollWait : Milliseconds(0));
-    call.leaseUntil = effect.leaseUntil;
-    m_calls.emplace(effect.call, std::move(call));
     worker.isLeaseRenewalInFlight = true;
-    m_metrics.recordOrder(now, effect, out);
-    out.add(std::move(effect));
+    send(now, worker, std::move(effect), std::move(call), out);
 }
 
 CallWorker RunTracker::makeCall(Instant now, const PooledWorker &worker, WorkerOrder order)
@@ -423,12 +438,24 @@
     call.address = worker.report.address;
     call.incarnation = worker.report.incarnation;
     call.fence = m_fence;
+    call.revision = worker.revision;
     call.order = std::move(order);
     call.validUntil = now + OrderValidity;
     call.timeout = OrderTimeout;
     return call;
 }
 
+void RunTracker::send(Instant now, const PooledWorker &worker, CallWorker effect, Call call,
+                      Outbox &out)
+{
+    call.kind = kindOf(effect.order);
+    call.incarnation = effect.incarnation;
+    call.leaseUntil = effect.leaseUntil;
+    m_calls.emplace(effect.call, std::move(call));
+    m_metrics.recordOrder(now, effect, out);
+    out.add(std::move(effect));
+}
+
 void RunTracker::orderStart(Instant now, PooledWorker &worker, const JobTaskRef &task, Outbox &out)
 {
     OpenRun &run = worker.runs.at(task);
@@ -447,8 +474,6 @@
                                             std::make_shared<const std::string>(job.spec.payload),
                                             jobstore::find(m_store, task)->checkpoint, run.ticket});
     effect.leaseUntil = *until;
-    m_calls.emplace(effect.call,
-                    Call{OrderKind::Start, worker.report.incarnation, task, run.run, {}, *until});
     // Repetitions go to silent workers; other starts may use their share of the admission limit.
     if (!isRepetition)
         m_admission.onStartOrdered(now, effect.call);
@@ -462,21 +487,22 @@
         run.startedAt = now;
     if (isRepetition)
         out.count(CellEvent::StartRepeated);
-    m_metrics.recordOrder(now, effect, out);
-    out.add(std::move(effect));
+    Call call;
+    call.task = task;
+    call.run = run.run;
+    send(now, worker, std::move(effect), std::move(call), out);
 }
 
 void RunTracker::orderStop(Instant now, PooledWorker &worker, const JobTaskRef &task, RunNumber run,
                            Outbox &out)
 {
-    CallWorker effect = makeCall(now, worker, OrderStop{task, run});
-    m_calls.emplace(effect.call,
-                    Call{OrderKind::Stop, worker.report.incarnation, task, run, {}, 0});
     out.note(task.step.job.value(),
              absl::StrCat("stop ordered: task=", nameOf(task), " run=", run.value(),
                           " worker=", worker.report.incarnation.worker.value()));
-    m_metrics.recordOrder(now, effect, out);
-    out.add(std::move(effect));
+    Call call;
+    call.task = task;
+    call.run = run;
+    send(now, worker, makeCall(now, worker, OrderStop{task, run}), std::move(call), out);
 }
 
 } // namespace gentiancross
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -65,10 +65,17 @@
         std::map<JobTaskRef, RunNumber> acknowledged;
         /** End of the lease that the call grants, on the worker's clock; 0 if it grants none. */
         std::int64_t leaseUntil = 0;
+        /** Ends up to this number are acknowledged by the call. */
+        CompletionNumber acknowledgedEnd;
     };
 
+    /** Passes the call on, and keeps what is needed when it is answered. */
+    void send(Instant now, const PooledWorker &worker, CallWorker effect, Call call, Outbox &out);
     /** The run that the call refers to; null if it is over or a later run is open. */
     OpenRun *runOf(const Call &call);
+    /** Applies the answer to \a call, which is no longer in flight. */
+    void apply(Instant now, PooledWorker &worker, const Call &call, const WorkerAnswer &answer,
+               Outbox &out);
     void recordAnswer(Instant now, PooledWorker &worker, const Call &call,
                       const WorkerAnswer &answer, Outbox &out);
     void handleNotSent(Instant now, const Call &call, Outbox &out);
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -32,8 +32,10 @@
     const auto [found, isNew] = m_workers.try_emplace(report.incarnation);
     PooledWorker &worker = found->second;
     worker.report = report;
-    if (isNew)
+    if (isNew) {
         worker.lastHeartbeat = now;
+        worker.revision = m_lastRevision;
+    }
     return worker;
 }
 
@@ -81,26 +83,35 @@
 
 void WorkerPool::advanceClock(PooledWorker &worker, Instant at, std::int64_t clock)
 {
-    if (!worker.clock.has_value() || clock > minClock(worker, at))
+    if (clock > minClock(worker, at).value_or(-1))
         setClock(worker, at, clock);
 }
 
-std::int64_t WorkerPool::minClock(const PooledWorker &worker, Instant now)
+std::optional<std::int64_t> WorkerPool::minClock(const PooledWorker &worker, Instant now)
 {
+    if (!worker.clock.has_value())
+        return std::nullopt;
     return *worker.clock + (now - worker.clockAt).value() * SlowestClockPermille / 1000;
 }
 
 std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now,
                                               Milliseconds length)
 {
-    if (!worker.clock.has_value())
+    const std::optional<std::int64_t> clock = minClock(worker, now);
+    if (!clock.has_value())
         return std::nullopt;
     // A successor assumes that no lease is longer than LeaseLength.
-    const std::int64_t until = minClock(worker, now) + length.value();
+    const std::int64_t until = *clock + length.value();
     worker.grantedUntil = std::max(worker.grantedUntil, until);
     return worker.grantedUntil;
 }
 
+void WorkerPool::raiseRevision(PooledWorker &worker)
+{
+    m_lastRevision = m_lastRevision.next();
+    worker.revision = m_lastRevision;
+}
+
 void WorkerPool::recordForeignLease(PooledWorker &worker, Instant now)
 {
     worker.foreignLeaseUntil = now + Milliseconds(MaxLease.value() * 1000 / SlowestClockPermille);
@@ -114,7 +125,8 @@
         return false;
     if (worker.grantedUntil == 0)
         return true;
-    return minClock(worker, now) - ClockMarginMilliseconds > worker.grantedUntil;
+    const std::optional<std::int64_t> clock = minClock(worker, now);
+    return clock.has_value() && *clock - ClockMarginMilliseconds > worker.grantedUntil;
 }
 
 bool WorkerPool::needsLeaseLapse(const PooledWorker &worker)
@@ -133,7 +145,7 @@
 bool WorkerPool::mayRenew(const PooledWorker &worker)
 {
     // Otherwise the lease of a worker that does not answer would never end.
-    if (worker.isFailing)
+    if (worker.isOnlyPolled())
         return false;
     return !needsLeaseLapse(worker)
             || std::any_of(worker.runs.begin(), worker.runs.end(),
@@ -164,7 +176,7 @@
 
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
-    return worker.isAnnounced && !worker.report.isDraining && !worker.isFailing
+    return worker.isAnnounced && !worker.report.isDraining && !worker.isOnlyPolled()
             && worker.clock.has_value() && now - worker.lastHeartbeat < MaxHeartbeatAge
             && now >= worker.avoidUntil;
 }
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -81,6 +81,11 @@
     Instant nextLeaseRenewal;
     /** True from an unanswered call until the next answer. */
     bool isFailing = false;
+    /** True while the next incarnation under the same name may be answering, or earlier orders may
+     * still arrive at this one; cleared by a list of this incarnation. */
+    bool isUnverified = false;
+    /** Raised to invalidate orders that may still arrive. */
+    FenceRevision revision;
     /** Number of unanswered orders since the last answer. */
     std::uint32_t unansweredOrders = 0;
     /** Number of failed runs since the last successful one. */
@@ -90,6 +95,9 @@
     Instant avoidUntil;
     WorkerPace pace;
 
+    /** True if the worker is only asked for its lists: it gets no run and no lease, and no end is
+     * acknowledged, since the next incarnation would take each of these as its own. */
+    [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified; }
     /** Number of ends that the worker keeps listing until they are acknowledged. */
     [[nodiscard]] std::uint64_t unacknowledgedEndCount() const
     {
@@ -149,6 +157,9 @@
     [[nodiscard]] static bool shouldLapse(const PooledWorker &worker, const StepSpec &step);
     /** Length of the lease for a new run of the step. */
     [[nodiscard]] static Milliseconds leaseLength(const OpenRun &run, const StepSpec &step);
+    /** Invalidates the orders that were sent so far: once the worker has executed a later one, it
+     * refuses them. */
+    void raiseRevision(PooledWorker &worker);
     /** Records that an order for an earlier incarnation may have reached this one, with a lease on
      * another clock. */
     static void recordForeignLease(PooledWorker &worker, Instant now);
@@ -158,6 +169,9 @@
      * ended.
      */
     [[nodiscard]] bool isLapsed(const PooledWorker &worker, Instant now) const;
+    /** Lower bound of the worker's clock at \a now; empty if the clock is unknown. */
+    [[nodiscard]] static std::optional<std::int64_t> minClock(const PooledWorker &worker,
+                                                              Instant now);
     /** True if the worker may be given new runs. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
     /** False if the worker's list of ends that cannot be acknowledged is too long for a run of the
@@ -168,10 +182,11 @@
 private:
     /** True if the worker gets no new work except a run whose lease is to lapse. */
     [[nodiscard]] static bool needsLeaseLapse(const PooledWorker &worker);
-    /** Lower bound of the worker's clock at \a now. Precondition: `clock` is set. */
-    [[nodiscard]] static std::int64_t minClock(const PooledWorker &worker, Instant now);
 
     Instant m_takenOver;
+    /** The highest revision of any worker. Revisions are not reused, since a worker that was
+     * removed and registers again has seen its former ones. */
+    FenceRevision m_lastRevision;
     std::map<WorkerIncarnation, PooledWorker> m_workers;
     WorkerPace m_averagePace;
 };
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -373,15 +373,26 @@
     WorkerOrder order;
     Instant validUntil;
     Milliseconds timeout;
+    FenceRevision revision;
 
     template <typename Self>
     static auto fields(Self &self)
     {
         return std::tie(self.call, self.address, self.incarnation, self.fence, self.leaseUntil,
-                        self.order, self.validUntil, self.timeout);
+                        self.order, self.validUntil, self.timeout, self.revision);
     }
 };
 
+/** Bits of a fencing token that hold the revision. A token stays below 2^53, so that it is exact in
+ * JSON. */
+constexpr int BitsPerFenceRevision = 32;
+
+/** The order's fencing token. Reentrant. */
+[[nodiscard]] inline FencingToken fencingTokenOf(const CallWorker &call)
+{
+    return FencingToken((call.fence.value() << BitsPerFenceRevision) + call.revision.value());
+}
+
 /** A run that a worker reports as running. */
 struct ReportedRun
 {
--- a/core/jobs.h
+++ b/core/jobs.h
@@ -23,6 +23,10 @@
 using RunNumber = NumberId<struct RunNumberTag>;
 /** Increases with each leader of a cell; workers refuse orders with a lower one. */
 using Fence = NumberId<struct FenceTag>;
+/** Increases whenever a leader invalidates its earlier orders to a worker that may still arrive. */
+using FenceRevision = NumberId<struct FenceRevisionTag>;
+/** What a worker compares: the fence of the leader, then the revision for this worker. */
+using FencingToken = NumberId<struct FencingTokenTag>;
 using DocumentVersion = NumberId<struct DocumentVersionTag>;
 /** Numbers the completions that one incarnation of a worker reports. */
 using CompletionNumber = NumberId<struct EndNumberTag>;
--- a/tests/control/jobs/cell_model.cpp
+++ b/tests/control/jobs/cell_model.cpp
@@ -206,7 +206,7 @@
             sent->isAnswerLost = m_random.chance(m_plan.lostAnswerRatio);
             if (m_random.chance(m_plan.lateCallRatio)) {
                 sent->isAnswerLost = true;
-                sent->processingDelayMs = m_random.between(500, 5000);
+                sent->processingDelayMs = m_random.between(m_plan.minLateMs, m_plan.maxLateMs);
             } else if (m_random.chance(m_plan.lateCallRatio)) {
                 transit = m_random.between(20, 400);
             }
@@ -351,7 +351,7 @@
     addTrace("worker crashed: " + slot.name);
     slot.worker->recordDeath();
     slot.worker.reset();
-    const bool isSameName = m_random.chance(0.6);
+    const bool isSameName = m_random.chance(m_plan.sameNameRatio);
     schedule(m_random.between(10, 4000), [=, this, &slot] { startWorker(slot, isSameName); });
 }
 
--- a/tests/control/jobs/cell_model.h
+++ b/tests/control/jobs/cell_model.h
@@ -32,6 +32,11 @@
     double lostAnswerRatio = 0;
     double lateCallRatio = 0;
     double delayedSendRatio = 0;
+    /** How late such calls are executed. */
+    std::int64_t minLateMs = 500;
+    std::int64_t maxLateMs = 5000;
+    /** Share of crashed workers that start again under their name. */
+    double sameNameRatio = 0.6;
     /** Mean interval between faults of a kind; 0 disables them. */
     std::int64_t disconnectIntervalMs = 0;
     std::int64_t crashIntervalMs = 0;
--- a/tests/control/jobs/leased_worker.cpp
+++ b/tests/control/jobs/leased_worker.cpp
@@ -38,19 +38,18 @@
     answer.call = call;
     answer.verdict = WorkerVerdict::Done;
     answer.clock = clock();
-    answer.born = m_report.incarnation.born;
     return answer;
 }
 
 void LeasedWorker::receive(const CallWorker &call, Reply reply)
 {
     WorkerAnswer answer = answerTo(call.call);
-    if (call.fence < m_fence) {
+    if (fencingTokenOf(call) < m_fence) {
         answer.verdict = WorkerVerdict::Fenced;
         reply(answer);
         return;
     }
-    m_fence = call.fence;
+    m_fence = fencingTokenOf(call);
     if (const auto *renewal = std::get_if<OrderLeaseRenewal>(&call.order)) {
         renewLease(call, *renewal, std::move(reply));
         return;
@@ -119,6 +118,8 @@
     const PendingRenewal renewal = std::move(*m_pendingRenewal);
     m_pendingRenewal.reset();
     WorkerAnswer answer = answerTo(renewal.call);
+    // Only lists of runs state the incarnation.
+    answer.born = m_report.incarnation.born;
     for (const auto &[task, run] : m_running)
         answer.running.push_back({task, run, {}, 100, 0});
     const std::size_t count = std::min(m_completions.size(), MaxCompletionsListed);
--- a/tests/control/jobs/leased_worker.h
+++ b/tests/control/jobs/leased_worker.h
@@ -48,7 +48,7 @@
     VirtualTime &m_time;
     RunWitness &m_witness;
     RunDuration m_duration;
-    Fence m_fence;
+    FencingToken m_fence;
     std::uint64_t m_heartbeats = 0;
     std::int64_t m_leaseUntil = 0;
     std::map<JobTaskRef, RunNumber> m_running;
--- a/tests/control/jobs/model_worker.cpp
+++ b/tests/control/jobs/model_worker.cpp
@@ -93,13 +93,15 @@
     WorkerAnswer answer;
     answer.call = call.call;
     answer.clock = clock(now);
-    answer.born = m_report.incarnation.born;
     answer.verdict = WorkerVerdict::Done;
-    if (call.fence < m_fence) {
+    // Only lists of runs state the incarnation.
+    if (kindOf(call.order) == OrderKind::LeaseRenewal)
+        answer.born = m_report.incarnation.born;
+    if (fencingTokenOf(call) < m_fence) {
         answer.verdict = WorkerVerdict::Fenced;
         return answer;
     }
-    m_fence = call.fence;
+    m_fence = fencingTokenOf(call);
     if (const auto *order = std::get_if<OrderStart>(&call.order)) {
         answer.verdict = start(now, call, *order);
     } else if (const auto *order = std::get_if<OrderStop>(&call.order)) {
--- a/tests/control/jobs/model_worker.h
+++ b/tests/control/jobs/model_worker.h
@@ -66,7 +66,7 @@
     RunOracle &m_oracle;
     SoakRandom &m_random;
     Instant m_frozenUntil;
-    Fence m_fence;
+    FencingToken m_fence;
     std::int64_t m_leaseUntil = 0;
     std::uint64_t m_lapses = 0;
     std::uint64_t m_sequence = 0;
--- /dev/null
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -0,0 +1,112 @@
+#include "tests/control/jobs/leader_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+const std::string job = "00000000000000aa";
+const std::string otherJob = "00000000000000bb";
+
+ReportedCompletion ended(std::uint64_t number, const std::string &ofJob, std::uint64_t run,
+                         RunEnding ending = RunEnding::Done)
+{
+    return {CompletionNumber(number), makeTask(ofJob, 0, 0), RunNumber(run), ending, {}};
+}
+
+ReportedRun listed(const std::string &ofJob, std::uint64_t run)
+{
+    return {makeTask(ofJob, 0, 0), RunNumber(run), {}, 100, 0};
+}
+
+CompletionNumber acknowledgedBy(const CallWorker &renewal)
+{
+    return std::get<OrderLeaseRenewal>(renewal.order).durableUpTo;
+}
+
+CallWorker takeRenewal(LeaderBench &bench, const std::string &worker)
+{
+    for (int step = 0; step < 40; ++step) {
+        if (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal(worker))
+            return *renewal;
+        bench.advance(50);
+    }
+    FAIL("no lease renewal for " << worker);
+    return {};
+}
+
+/** Lets "v" execute a job, and the leader acknowledge its end, number 1. */
+void runOneJob(LeaderBench &bench)
+{
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.answerLeaseRenewal("v", {}, {ended(1, job, 1)});
+}
+
+} // namespace
+
+// Guards against late orders for a former incarnation, which the next one would execute beside
+// what the leader orders there.
+TEST_CASE("The next incarnation gets no run before it has seen a higher fencing token")
+{
+    LeaderBench bench;
+    runOneJob(bench);
+    bench.submit("00000000000000cc", {makeStep(1, 100)});
+    const CallWorker former = bench.takeStarts().at(0);
+    bench.answer(former, WorkerVerdict::Done);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {},
+                         {ended(2, "00000000000000cc", 1, RunEnding::Done)});
+    bench.sendHeartbeat("v", 2);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    const CallWorker poll = takeRenewal(bench, "v");
+    CHECK(poll.incarnation == makeIncarnation("v", 2));
+    CHECK(fencingTokenOf(poll) > fencingTokenOf(former));
+    CHECK(poll.leaseUntil == 0);
+    bench.answerWithRuns(poll, {}, {});
+    bench.advance(50);
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(fencingTokenOf(starts[0]) >= fencingTokenOf(poll));
+}
+
+// Guards against an acknowledgement that arrives late, at the next incarnation, after a start.
+TEST_CASE("A start after an unanswered acknowledgement has a higher fencing token")
+{
+    LeaderBench bench;
+    runOneJob(bench);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker unanswered = takeRenewal(bench, "v");
+    REQUIRE(acknowledgedBy(unanswered) == CompletionNumber(1));
+    bench.answer(unanswered, WorkerVerdict::NoAnswer);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(otherJob, 1)}, {});
+    bench.sendHeartbeat("v");
+    bench.submit("00000000000000cc", {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(fencingTokenOf(starts[0]) > fencingTokenOf(unanswered));
+}
+
+// Guards against a worker that refuses all orders, since it has seen a higher token before it was
+// given up.
+TEST_CASE("A worker that registers again after it was given up gets no lower fencing token")
+{
+    LeaderBench bench;
+    runOneJob(bench);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker unanswered = takeRenewal(bench, "v");
+    bench.answer(unanswered, WorkerVerdict::NoAnswer);
+    const CallWorker poll = takeRenewal(bench, "v");
+    bench.answer(poll, WorkerVerdict::NoAnswer);
+    bench.advance(20'000);
+    while (bench.takeLeaseRenewal("v").has_value()) {
+    }
+    bench.sendHeartbeat("v");
+    CHECK(fencingTokenOf(takeRenewal(bench, "v")) >= fencingTokenOf(poll));
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -153,20 +153,22 @@
 {
     CallWorker call;
     call.fence = Fence(7);
+    call.revision = FenceRevision(3);
     call.leaseUntil = 486000;
     const JobTaskRef task{{JobId("5c0e7a21d94b36f8"), 0, 1}, 17};
     call.order = OrderStart{task, RunNumber(2), std::make_shared<const std::string>("text"),
                             "00000bb87a21d94b", ""};
     CHECK(encodeOrder(call).path == "/run-start");
     CHECK(encodeOrder(call).body
-          == R"({"checkpoint":"00000bb87a21d94b","fence":7,"run":2,"spec":"text",)"
+          == R"({"checkpoint":"00000bb87a21d94b","fence":30064771075,"run":2,"spec":"text",)"
              R"("task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})");
     call.order = OrderStop{task, RunNumber(2)};
-    CHECK(encodeOrder(call).body == R"({"fence":7,"run":2,"task":"5c0e7a21d94b36f8.0.1.17"})");
+    CHECK(encodeOrder(call).body
+          == R"({"fence":30064771075,"run":2,"task":"5c0e7a21d94b36f8.0.1.17"})");
     call.order = OrderLeaseRenewal{CompletionNumber(57), Milliseconds(1000)};
     CHECK(encodeOrder(call).path == "/hold");
     CHECK(encodeOrder(call).body
-          == R"({"fence":7,"last_seen":57,"until_ms":486000,"wait_ms":1000})");
+          == R"({"fence":30064771075,"last_seen":57,"until_ms":486000,"wait_ms":1000})");
 }
 
 TEST_CASE("A worker's answers are decoded, and a truncated one counts as no answer")
