Take no list of an incarnation with an earlier birth time

A worker that restarts under its name after its wall clock was set back has an earlier birth time than its former incarnation. Its lists were taken for those of the former one: runs that it lacked counted as lost, its ends were skipped, since their numbers had been seen, and then acknowledged. Such an answer now counts as none. The test fails on: a second start while the list was not the worker's own.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -141,6 +141,15 @@
         return;
     if (call.kind == OrderKind::LeaseRenewal)
         worker->isLeaseRenewalInFlight = false;
+    if (answer.born.has_value() && *answer.born < call.incarnation.born) {
+        // The worker has restarted after its wall clock was set back. Its lists and end numbers are
+        // not those of the incarnation that is tracked.
+        WorkerAnswer unidentified;
+        unidentified.call = answer.call;
+        unidentified.error = "the answer states an earlier birth time";
+        apply(now, *worker, call, unidentified, out);
+        return;
+    }
     apply(now, *worker, call, answer, out);
 }
 
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -179,3 +179,24 @@
     bench.sendHeartbeat("v");
     CHECK(fencingTokenOf(takeRenewal(bench, "v")) >= fencingTokenOf(poll));
 }
+
+// Guards against ends that are taken for those of the former incarnation, whose numbers they
+// repeat: they were dropped, and their tasks started again.
+TEST_CASE("A list that states an earlier birth time counts as no answer")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v", 2);
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    WorkerAnswer answer;
+    answer.call = takeRenewal(bench, "v").call;
+    answer.verdict = WorkerVerdict::Done;
+    answer.clock = bench.now().value();
+    answer.born = Milliseconds(1);
+    answer.ended = {ended(1, job, 1, RunEnding::Stopped)};
+    bench.sendHeartbeat("w");
+    bench.answer(answer);
+    CHECK(bench.takeStarts().empty());
+    CHECK(acknowledgedBy(takeRenewal(bench, "v")) == CompletionNumber(0));
+}
