Start nothing on a worker that lists a run which is not tracked

The worker now gets no run until a list is free of such runs. The test fails on: a start beside the run that is being stopped.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -355,11 +355,13 @@
                                const WorkerAnswer &answer, Outbox &out)
 {
     std::set<JobTaskRef> present;
+    worker.hasUnexpectedRun = false;
     for (const ReportedRun &listed : answer.running) {
         const auto found = worker.runs.find(listed.task);
         if (found == worker.runs.end() || found->second.run != listed.run) {
             const bool isKnown = found != worker.runs.end() && found->second.run > listed.run;
             if (found == worker.runs.end() || isKnown) {
+                worker.hasUnexpectedRun = true;
                 out.count(CellEvent::UnexpectedRun);
                 orderStop(now, worker, listed.task, listed.run, out);
             }
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -177,8 +177,8 @@
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
     return worker.isAnnounced && !worker.report.isDraining && !worker.isOnlyPolled()
-            && worker.clock.has_value() && now - worker.lastHeartbeat < MaxHeartbeatAge
-            && now >= worker.avoidUntil;
+            && !worker.hasUnexpectedRun && worker.clock.has_value()
+            && now - worker.lastHeartbeat < MaxHeartbeatAge && now >= worker.avoidUntil;
 }
 
 } // namespace gentiancross
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -93,6 +93,9 @@
     bool isUnverified = false;
     /** Raised to invalidate orders that may still arrive. */
     FenceRevision revision;
+    /** True if its newest list contains a run that is not tracked; the run uses capacity until it
+     * has been stopped. */
+    bool hasUnexpectedRun = false;
     /** Number of unanswered orders since the last answer. */
     std::uint32_t unansweredOrders = 0;
     /** Number of failed runs since the last successful one. */
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -180,6 +180,25 @@
     CHECK(fencingTokenOf(takeRenewal(bench, "v")) >= fencingTokenOf(poll));
 }
 
+// Guards against a start beyond the worker's capacity, which a run that is being stopped still
+// uses.
+TEST_CASE("A worker with a run that the leader does not track gets no other run until it has ended")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1), listed(otherJob, 1)}, {});
+    CHECK(bench.takeStops().size() == 1);
+    bench.sendHeartbeat("v");
+    bench.submit("00000000000000cc", {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)},
+                         {ended(1, otherJob, 1, RunEnding::Stopped)});
+    CHECK(bench.takeStarts().size() == 1);
+}
+
 // Guards against ends that are taken for those of the former incarnation, whose numbers they
 // repeat: they were dropped, and their tasks started again.
 TEST_CASE("A list that states an earlier birth time counts as no answer")
