--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -105,6 +105,7 @@
     }
     if (old.worker == next.worker) {
         // Orders for the former incarnation that are still in flight must not reach the next one.
+        out.count(CellEvent::WorkerRestarted);
         PooledWorker &successor = *m_pool.find(next);
         m_pool.raiseRevision(successor);
         successor.isUnverified = true;
@@ -115,6 +116,7 @@
                  absl::StrCat("run may be executing in the next incarnation: task=", nameOf(task),
                               " run=", number.value(), " worker=", next.worker.value(),
                               " born=", next.born.value()));
+        out.count(CellEvent::RunMoved);
         m_results.apply(RunMoved{task, number, next});
         OpenRun &run = m_pool.find(next)->runs.at(task);
         run.wasSent = true;
@@ -147,6 +149,7 @@
         WorkerAnswer unidentified;
         unidentified.call = answer.call;
         unidentified.error = "the answer states an earlier birth time";
+        out.count(CellEvent::UnidentifiedAnswer);
         apply(now, *worker, call, unidentified, out);
         return;
     }
@@ -191,6 +194,7 @@
     PooledWorker &worker = *m_pool.find(call.incarnation);
     out.add(LogLine{true, call.incarnation.worker.value(),
                     "worker's clock has begun anew: another incarnation may have answered"});
+    out.count(CellEvent::UnidentifiedAnswer);
     worker.isUnverified = true;
     worker.nextLeaseRenewal = now;
     m_pool.raiseRevision(worker);
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -63,6 +63,12 @@
     LeadershipLost,
     /** A connection to a worker was opened. */
     ConnectionOpened,
+    /** A worker has started again under its name. */
+    WorkerRestarted,
+    /** A run was taken for one that may be executing in the worker's next incarnation. */
+    RunMoved,
+    /** An answer may come from another incarnation than the one that was called. */
+    UnidentifiedAnswer,
 };
 
 /** Time spans that are measured. */
--- a/servers/cell_metrics.cpp
+++ b/servers/cell_metrics.cpp
@@ -28,7 +28,7 @@
 constexpr std::array EndingNames
         = {"done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost"};
 constexpr std::array SourceNames = {"listed", "concluded", "concluded_inherited"};
-constexpr std::array<std::pair<const char *, const char *>, 15> EventNames = {{
+constexpr std::array<std::pair<const char *, const char *>, 18> EventNames = {{
         {"starts_total", "run=\"first\""},
         {"starts_total", "run=\"later\""},
         {"starts_repeated_total", ""},
@@ -44,6 +44,9 @@
         {"leader_changes_total", "change=\"gained\""},
         {"leader_changes_total", "change=\"lost\""},
         {"worker_connections_total", ""},
+        {"workers_restarted_total", ""},
+        {"runs_moved_total", ""},
+        {"answers_unidentified_total", ""},
 }};
 constexpr std::array SpanNames = {"start_durable_milliseconds", "run_ended_milliseconds",
                                   "end_durable_milliseconds", "tick_gap_milliseconds"};
