Verify a restarted worker by a list of its own token, and only by a recent one

The check in "A worker whose clock has begun anew" could not fail, since no renewal was due; it now requires one.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -173,13 +173,14 @@
         return;
     }
     worker.deliveredLeaseUntil = std::max(worker.deliveredLeaseUntil, call.leaseUntil);
+    const Milliseconds age = WorkerPool::minAge(worker, now, answer.clock);
     recordAnswer(now, worker, call, answer, out);
     if (call.kind == OrderKind::Start)
         handleStartAnswer(now, call, answer, out);
     else if (call.kind == OrderKind::Stop)
         handleStopAnswer(now, call, answer);
     else
-        handleRenewalAnswer(now, call, answer, out);
+        handleRenewalAnswer(now, call, answer, age, out);
 }
 
 bool RunTracker::hasClockRestarted(const Call &call, const WorkerAnswer &answer)
@@ -198,8 +199,11 @@
     worker.isUnverified = true;
     worker.nextLeaseRenewal = now;
     m_pool.raiseRevision(worker);
-    if (OpenRun *const run = runOf(call))
+    WorkerPool::recordForeignLease(worker, now);
+    if (OpenRun *const run = runOf(call)) {
         run->mayArriveLate = true;
+        run->nextAttempt = now + RetryDelay;
+    }
     sendDueOrders(now, worker, out);
 }
 
@@ -338,7 +342,7 @@
 }
 
 void RunTracker::handleRenewalAnswer(Instant now, const Call &call, const WorkerAnswer &answer,
-                                     Outbox &out)
+                                     Milliseconds age, Outbox &out)
 {
     PooledWorker &worker = *m_pool.find(call.incarnation);
     const Milliseconds retryDelay = worker.runs.empty() ? IdleRetryDelay : RetryDelay;
@@ -346,8 +350,10 @@
             = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : retryDelay);
     if (answer.verdict != WorkerVerdict::Done)
         return;
-    worker.isUnverified = false;
-    worker.listedAt = now;
+    // A list that was asked for earlier may come from the incarnation before.
+    if (call.revision == worker.revision)
+        worker.isUnverified = false;
+    worker.listedAt = now - age;
     worker.droppedEnd = std::max(worker.droppedEnd, call.acknowledgedEnd);
     m_ends.recordEnds(now, worker, answer.ended, out);
     if (worker.hasUnacknowledgeableEnd)
@@ -505,6 +511,7 @@
     call.kind = kindOf(effect.order);
     call.incarnation = effect.incarnation;
     call.leaseUntil = effect.leaseUntil;
+    call.revision = effect.revision;
     call.minClock = WorkerPool::minClock(worker, now);
     m_calls.emplace(effect.call, std::move(call));
     m_metrics.recordOrder(now, effect, out);
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -69,6 +69,7 @@
         CompletionNumber acknowledgedEnd;
         /** Lower bound of the worker's clock when the call was sent; empty if unknown. */
         std::optional<std::int64_t> minClock;
+        FenceRevision revision;
     };
 
     /** Passes the call on, and keeps what is needed when it is answered. */
@@ -93,8 +94,9 @@
                                 Outbox &out);
     void handleStartAnswer(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
     void handleStopAnswer(Instant now, const Call &call, const WorkerAnswer &answer);
+    /** \a age is how long the answer was at least in transit. */
     void handleRenewalAnswer(Instant now, const Call &call, const WorkerAnswer &answer,
-                             Outbox &out);
+                             Milliseconds age, Outbox &out);
     void reconcileRuns(Instant now, PooledWorker &worker, const Call &call,
                        const WorkerAnswer &answer, Outbox &out);
     void endRuns(const WorkerIncarnation &incarnation, RunEnding ending, Outbox &out);
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -94,6 +94,15 @@
     return *worker.clock + (now - worker.clockAt).value() * SlowestClockPermille / 1000;
 }
 
+Milliseconds WorkerPool::minAge(const PooledWorker &worker, Instant now,
+                                std::optional<std::int64_t> clock)
+{
+    const std::optional<std::int64_t> current = minClock(worker, now);
+    if (!current.has_value() || !clock.has_value())
+        return Milliseconds(0);
+    return Milliseconds(std::max<std::int64_t>(*current - *clock, 0));
+}
+
 std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now,
                                               Milliseconds length)
 {
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -76,7 +76,7 @@
     CompletionNumber acknowledgedEnd;
     /** Number of the newest end that the worker has certainly dropped. */
     CompletionNumber droppedEnd;
-    /** When its newest list arrived. */
+    /** When it made its newest list, or later. */
     Instant listedAt;
     /** True if the worker has listed an end after `acknowledgeableEnd` that it must not forget.
      * Cleared when a lease lapses while something runs. */
@@ -182,6 +182,9 @@
     /** Lower bound of the worker's clock at \a now; empty if the clock is unknown. */
     [[nodiscard]] static std::optional<std::int64_t> minClock(const PooledWorker &worker,
                                                               Instant now);
+    /** How long ago the worker's clock showed \a clock, at least; 0 if that is unknown. */
+    [[nodiscard]] static Milliseconds minAge(const PooledWorker &worker, Instant now,
+                                             std::optional<std::int64_t> clock);
     /** True if the worker may be given new runs. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
     /** False if the worker's list of ends that cannot be acknowledged is too long for a run of the
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace gentiancross;
 using namespace gentiancross::tests;
 
@@ -9,6 +11,7 @@
 
 const std::string job = "00000000000000aa";
 const std::string otherJob = "00000000000000bb";
+const std::string thirdJob = "00000000000000cc";
 
 ReportedCompletion ended(std::uint64_t number, const std::string &ofJob, std::uint64_t run,
                          RunEnding ending = RunEnding::Done)
@@ -90,6 +93,30 @@
     CHECK(acknowledgedBy(takeRenewal(bench, "v")) == CompletionNumber(0));
 }
 
+// Guards against the same where the worker restarts while its list is in transit.
+TEST_CASE("An end is acknowledged only after a list that has not been in transit for long")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    WorkerAnswer late;
+    late.call = takeRenewal(bench, "v").call;
+    late.verdict = WorkerVerdict::Done;
+    late.clock = bench.now().value();
+    late.ended = {ended(1, job, 1)};
+    bench.advance(500);
+    bench.answer(late);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker poll = takeRenewal(bench, "v");
+    CHECK(acknowledgedBy(poll) == CompletionNumber(0));
+    CHECK(std::get<OrderLeaseRenewal>(poll.order).wait == Milliseconds(0));
+    bench.answerWithRuns(poll, {listed(otherJob, 1)}, {ended(1, job, 1)});
+    CHECK(acknowledgedBy(takeRenewal(bench, "v")) == CompletionNumber(1));
+}
+
 // Guards against the same where the worker restarts before it has confirmed the acknowledgement.
 TEST_CASE("A worker whose clock has begun anew gets no acknowledgement, lease or run until it is "
           "identified")
@@ -99,19 +126,17 @@
     bench.submit(otherJob, {makeStep(1, 100)});
     const std::vector<CallWorker> starts = bench.takeStarts();
     REQUIRE(starts.size() == 1);
-    while (bench.takeLeaseRenewal("v").has_value()) {
-    }
+    const CallWorker open = takeRenewal(bench, "v");
     answerAt(bench, starts[0], 100);
-    bench.advance(2000);
+    bench.answer(open, WorkerVerdict::NoAnswer);
     bench.sendHeartbeat("w");
-    bench.submit("00000000000000cc", {makeStep(1, 100)});
-    for (const CallWorker &start : bench.takeStarts())
-        CHECK(start.incarnation == makeIncarnation("w"));
-    const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v");
-    if (renewal.has_value()) {
-        CHECK(acknowledgedBy(*renewal) == CompletionNumber(0));
-        CHECK(renewal->leaseUntil == 0);
-    }
+    bench.submit(thirdJob, {makeStep(1, 100)});
+    const std::vector<CallWorker> later = bench.takeStarts();
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].incarnation == makeIncarnation("w"));
+    const CallWorker poll = takeRenewal(bench, "v");
+    CHECK(acknowledgedBy(poll) == CompletionNumber(0));
+    CHECK(poll.leaseUntil == 0);
     // The next incarnation lists the end, which counts although the start was for the former one.
     bench.sendHeartbeat("v", 2);
     bench.answerWithRuns(takeRenewal(bench, "v"), {}, {ended(1, otherJob, 1)});
@@ -124,11 +149,10 @@
 {
     LeaderBench bench;
     runOneJob(bench);
-    bench.submit("00000000000000cc", {makeStep(1, 100)});
+    bench.submit(thirdJob, {makeStep(1, 100)});
     const CallWorker former = bench.takeStarts().at(0);
     bench.answer(former, WorkerVerdict::Done);
-    bench.answerWithRuns(takeRenewal(bench, "v"), {},
-                         {ended(2, "00000000000000cc", 1, RunEnding::Done)});
+    bench.answerWithRuns(takeRenewal(bench, "v"), {}, {ended(2, thirdJob, 1, RunEnding::Done)});
     bench.sendHeartbeat("v", 2);
     bench.submit(otherJob, {makeStep(1, 100)});
     CHECK(bench.takeStarts().empty());
@@ -155,7 +179,7 @@
     bench.answer(unanswered, WorkerVerdict::NoAnswer);
     bench.answerWithRuns(takeRenewal(bench, "v"), {listed(otherJob, 1)}, {});
     bench.sendHeartbeat("v");
-    bench.submit("00000000000000cc", {makeStep(1, 100)});
+    bench.submit(thirdJob, {makeStep(1, 100)});
     const std::vector<CallWorker> starts = bench.takeStarts();
     REQUIRE(starts.size() == 1);
     CHECK(fencingTokenOf(starts[0]) > fencingTokenOf(unanswered));
@@ -192,7 +216,7 @@
     bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1), listed(otherJob, 1)}, {});
     CHECK(bench.takeStops().size() == 1);
     bench.sendHeartbeat("v");
-    bench.submit("00000000000000cc", {makeStep(1, 100)});
+    bench.submit(thirdJob, {makeStep(1, 100)});
     CHECK(bench.takeStarts().empty());
     bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)},
                          {ended(1, otherJob, 1, RunEnding::Stopped)});
@@ -219,3 +243,58 @@
     CHECK(bench.takeStarts().empty());
     CHECK(acknowledgedBy(takeRenewal(bench, "v")) == CompletionNumber(0));
 }
+
+// Guards against stop orders that are repeated at the speed of the network.
+TEST_CASE("A stop that an unidentified incarnation has answered is not repeated at once")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)}, {});
+    bench.queryJob(job, JobVerb::Cancel);
+    bench.advance(400);
+    const std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    answerAt(bench, stops[0], 100);
+    CHECK(bench.takeStops().empty());
+}
+
+// Guards against starts and acknowledgements for an incarnation that a former list has vouched for.
+TEST_CASE("A list that was asked for before the worker became unverified does not verify it")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker former = takeRenewal(bench, "v");
+    bench.submit(otherJob, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    answerAt(bench, starts[0], 100);
+    bench.answerWithRuns(former, {listed(job, 1)}, {});
+    bench.submit(thirdJob, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().empty());
+    CHECK(takeRenewal(bench, "v").leaseUntil == 0);
+}
+
+// Guards against two runs at a time: the incarnation that has answered may hold a lease by another
+// clock.
+TEST_CASE("A run of an unidentified incarnation does not lapse by the former one's clock")
+{
+    constexpr std::int64_t LongestLease = 10'000;
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    answerAt(bench, bench.takeStarts().at(0), 100);
+    for (std::int64_t passed = 0; passed < LongestLease; passed += 100) {
+        bench.advance(100);
+        bench.sendHeartbeat("w");
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answer(*renewal, WorkerVerdict::NoAnswer);
+        CHECK(bench.takeStarts().empty());
+    }
+}
