--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -470,7 +470,8 @@
     if (worker.isLeaseRenewalInFlight || now < worker.nextLeaseRenewal || hasPendingAcknowledgement)
         return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
-    if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled())
+    if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled()
+        || worker.hasUnexpectedRun)
         renewLease(now, worker, out);
 }
 
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -313,3 +313,19 @@
     REQUIRE(bench.startElsewhere("v", "w").size() == 1);
     CHECK(fencingTokenOf(takeRenewal(bench, "v")) > fencingTokenOf(starts[0]));
 }
+
+// Guards against a worker that is never used again.
+TEST_CASE("A worker whose only listed run is not tracked is polled until it is free of it")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(otherJob, 1)}, {ended(1, job, 1)});
+    CHECK(bench.takeStops().size() == 1);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {}, {});
+    bench.sendHeartbeat("v");
+    bench.submit(thirdJob, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().size() == 1);
+}
