--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -466,7 +466,10 @@
             run.nextAttempt = now + ExecutingCheckInterval;
         }
     }
-    const bool hasPendingAcknowledgement = worker.acknowledgedEnd < worker.acknowledgeableEnd;
+    const bool hasSendableAcknowledgement = worker.acknowledgedEnd > worker.droppedEnd
+            && now - worker.listedAt <= MaxListAgeForAcknowledgement;
+    const bool hasPendingAcknowledgement
+            = worker.acknowledgedEnd < worker.acknowledgeableEnd && !hasSendableAcknowledgement;
     if (worker.isLeaseRenewalInFlight || now < worker.nextLeaseRenewal || hasPendingAcknowledgement)
         return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -329,3 +329,33 @@
     bench.submit(thirdJob, {makeStep(1, 100)});
     CHECK(bench.takeStarts().size() == 1);
 }
+
+// Guards against lists of ends that grow to their limit while commits are slow.
+TEST_CASE(
+        "Ends of a busy worker are acknowledged although each commit takes longer than lists stay "
+        "recent")
+{
+    constexpr int Rounds = 10;
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    CompletionNumber highest;
+    std::vector<ReportedCompletion> ends;
+    for (int round = 1; round <= Rounds; ++round) {
+        const std::string id = "00000000000001" + std::to_string(Rounds + round);
+        bench.submit(id, {makeStep(1, 100)});
+        for (const CallWorker &start : bench.takeStarts())
+            bench.answer(start, WorkerVerdict::Done);
+        bench.sendHeartbeat("v");
+        const CallWorker renewal = takeRenewal(bench, "v");
+        highest = std::max(highest, acknowledgedBy(renewal));
+        ends.push_back(ended(std::uint64_t(round), id, 1));
+        bench.pauseLog();
+        bench.answerWithRuns(renewal, {listed(job, 1)}, ends);
+        bench.advance(250);
+        bench.resumeLog();
+    }
+    CHECK(highest > CompletionNumber(0));
+}
