Check a start's worker again once its record is durable

A start that had been decided was sent although its worker had become silent, or had listed a run that is not tracked, while the record was committed. It is now given up unsent and decided again; members of gangs are sent as before, since the others may be on their way. The test failed before.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -347,7 +347,9 @@
         if (run == worker->runs.end() || run->second.wasSent)
             continue;
         const bool isFirst = run->second.run == RunNumber(1);
-        if (!m_runs.isWanted(task)) {
+        const bool isGang = m_store.jobs.at(task.step.job).spec.steps[task.step.step].isGang;
+        const bool hasBecomeUnusable = worker->isOnlyPolled() || worker->hasUnexpectedRun;
+        if (!m_runs.isWanted(task) || (hasBecomeUnusable && !isGang)) {
             // The order has not left this host, so there is nothing to stop.
             m_runs.endRun(progress->worker, task, RunEnding::NotStarted, out);
             continue;
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -359,3 +359,27 @@
     }
     CHECK(highest > CompletionNumber(0));
 }
+
+// Guards against starts beyond the capacity of a worker, and on silent workers: they are checked
+// again when their records are durable.
+TEST_CASE("A start is not sent if its worker has become unusable before the record is durable")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker renewal = takeRenewal(bench, "v");
+    bench.pauseLog();
+    bench.submit(thirdJob, {makeStep(1, 100)});
+    SECTION("it lists a run that is not tracked")
+    {
+        bench.answerWithRuns(renewal, {listed(job, 1), listed(otherJob, 1)}, {});
+    }
+    SECTION("it is silent")
+    {
+        bench.answer(renewal, WorkerVerdict::NoAnswer);
+    }
+    bench.resumeLog();
+    CHECK(bench.takeStarts().empty());
+}
