Record listed ends in the order of their numbers

An end that was listed after one with a higher number was skipped and then acknowledged. The platform promises no order. The test failed before. Found by review.

--- a/control/jobs/run_end_recorder.cpp
+++ b/control/jobs/run_end_recorder.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace gentiancross {
 
 namespace {
@@ -27,7 +29,10 @@
                                 const std::vector<ReportedCompletion> &ended, Outbox &out)
 {
     const WorkerIncarnation incarnation = worker.report.incarnation;
-    for (const ReportedCompletion &end : ended) {
+    std::vector<ReportedCompletion> ordered = ended;
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto &first, const auto &second) { return first.number < second.number; });
+    for (const ReportedCompletion &end : ordered) {
         if (end.number <= worker.recordedEnd)
             continue;
         worker.recordedEnd = end.number;
--- a/control/jobs/run_end_recorder.h
+++ b/control/jobs/run_end_recorder.h
@@ -19,7 +19,7 @@
     /** All must outlive this object. */
     RunEndRecorder(const JobStoreData &store, WorkerPool &pool, RunResultHandler &results);
 
-    /** Records the ends in \a ended that are new; the worker lists them oldest first. */
+    /** Records the ends in \a ended that are new, in the order of their numbers. */
     void recordEnds(Instant now, PooledWorker &worker, const std::vector<ReportedCompletion> &ended,
                     Outbox &out);
 
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -383,3 +383,18 @@
     bench.resumeLog();
     CHECK(bench.takeStarts().empty());
 }
+
+// Guards against ends that are skipped, and acknowledged with the later ones.
+TEST_CASE("Ends that are listed out of order are all recorded")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.submit(otherJob, {makeStep(1, 100)});
+    for (const CallWorker &start : bench.takeStarts())
+        bench.answer(start, WorkerVerdict::Done);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {}, {ended(2, otherJob, 1), ended(1, job, 1)});
+    CHECK(std::get<JobStateReport>(bench.queryJob(job)).state == JobState::Completed);
+    CHECK(std::get<JobStateReport>(bench.queryJob(otherJob)).state == JobState::Completed);
+}
