Start long-running tasks again before any first start

Callers saw long-running tasks stay down for up to 31 s when they failed in a burst, long after workers had room again; some never came back.

Cause: a restart ranked like a first start, by its queue's priority, so all waiting steps of a more urgent queue came before it, jobs whose time was over included. The planner asks the adviser in the same order and stops once the cores that wait exceed what is free and a quarter of the capacity. In a burst the urgent queue alone exceeds that, so the restart had no tickets and could not start whatever was free.

Change: ReadyStep has the reason why its tasks wait, which counts before the queue's priority. Tasks of a long-running step that were started before are one entry of the queue, its other tasks another, so that a wide step does not jump the queue because one of its tasks failed. A task whose first start was refused counts as started before.

LeasedWorker takes from its owner how a run ends, since such a task fails.

Not covered: a restart that needs more room than the urgent tasks that end one by one leave; nothing keeps room together for it.

--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -26,21 +26,24 @@
     return job.occurrences.at(ref.occurrence);
 }
 
-std::vector<std::uint32_t> idleTasks(const StepRef &ref, const Job &job)
+/** The tasks that wait for \a reason. */
+std::vector<std::uint32_t> idleTasks(const StepRef &ref, WaitReason reason, const Job &job)
 {
     std::vector<std::uint32_t> idle;
+    const StepSpec &step = job.spec.steps[ref.step];
     const std::vector<TaskProgress> &tasks = occurrenceOf(ref, job).steps[ref.step];
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (!tasks[index].mayStillRun && !tasks[index].isDone)
+        if (!tasks[index].mayStillRun && !tasks[index].isDone
+            && waitReasonOf(step, tasks[index]) == reason)
             idle.push_back(index);
     }
     return idle;
 }
 
-/** True if tasks wait to be placed; for a gang, only once no member is running or done. */
-bool hasIdleTasks(const StepRef &ref, const Job &job)
+/** True if tasks wait for \a reason; for a gang, only once no member is running or done. */
+bool hasIdleTasks(const StepRef &ref, WaitReason reason, const Job &job)
 {
-    const std::vector<std::uint32_t> idle = idleTasks(ref, job);
+    const std::vector<std::uint32_t> idle = idleTasks(ref, reason, job);
     const StepSpec &step = job.spec.steps[ref.step];
     return step.isGang ? idle.size() == step.count : !idle.empty();
 }
@@ -109,8 +112,12 @@
         const Instant arrivedAt = m_arrivals[id].try_emplace(number, now).first->second;
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const StepRef ref{id, number, step};
-            if (jobstore::isStepReady(job, occurrence, step) && hasIdleTasks(ref, job))
-                steps.push_back(m_order->rank(now, ref, job, arrivedAt));
+            if (!jobstore::isStepReady(job, occurrence, step))
+                continue;
+            for (const WaitReason reason : {WaitReason::Restart, WaitReason::Start}) {
+                if (hasIdleTasks(ref, reason, job))
+                    steps.push_back(m_order->rank(now, ref, reason, job, arrivedAt));
+            }
         }
     }
     if (steps.empty())
@@ -171,10 +178,10 @@
         return;
     const Job &job = found->second;
     if (job.spec.steps[ready.step.step].isGang)
-        planGang(now, ready.step, job, handler);
+        planGang(now, ready, job, handler);
     else
-        planTasks(now, ready.step, job, handler);
-    const std::vector<std::uint32_t> idle = idleTasks(ready.step, job);
+        planTasks(now, ready, job, handler);
+    const std::vector<std::uint32_t> idle = idleTasks(ready.step, ready.reason, job);
     if (idle.empty()) {
         jobChanged(now, ready.step.job, job);
         return;
@@ -186,10 +193,12 @@
             * static_cast<std::int64_t>(idle.size());
 }
 
-void StartPlanner::planTasks(Instant now, const StepRef &ref, const Job &job, StartHandler &handler)
+void StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
+                             StartHandler &handler)
 {
+    const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
-    for (const std::uint32_t index : idleTasks(ref, job)) {
+    for (const std::uint32_t index : idleTasks(ref, ready.reason, job)) {
         if (!isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
             return;
         const TaskProgress &task = occurrenceOf(ref, job).steps[ref.step][index];
@@ -205,10 +214,12 @@
     }
 }
 
-void StartPlanner::planGang(Instant now, const StepRef &ref, const Job &job, StartHandler &handler)
+void StartPlanner::planGang(Instant now, const ReadyStep &ready, const Job &job,
+                            StartHandler &handler)
 {
+    const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
-    if (!hasIdleTasks(ref, job))
+    if (!hasIdleTasks(ref, ready.reason, job))
         return;
     Resources all;
     for (std::uint32_t index = 0; index < step.count; ++index)
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -77,8 +77,8 @@
     /** Updates the ranks of steps whose latest start has passed. */
     void updateRanks(Instant now);
     void planStep(Instant now, const ReadyStep &ready, StartHandler &handler, Outbox &out);
-    void planTasks(Instant now, const StepRef &ref, const Job &job, StartHandler &handler);
-    void planGang(Instant now, const StepRef &ref, const Job &job, StartHandler &handler);
+    void planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
+    void planGang(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
     /** False once the admission allows no more starts in this plan. */
     bool isAdmitted();
     bool placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -56,10 +56,16 @@
     return rest[step];
 }
 
-ReadyStep DeadlineStepOrder::rank(Instant now, const StepRef &step, const Job &job,
-                                  Instant arrivedAt) const
+WaitReason waitReasonOf(const StepSpec &step, const TaskProgress &task)
 {
-    ReadyStep ready{job.terms.priority, Lateness::OnTime, arrivedAt, step};
+    return step.isLongRunning && task.lastRun > RunNumber() ? WaitReason::Restart
+                                                            : WaitReason::Start;
+}
+
+ReadyStep DeadlineStepOrder::rank(Instant now, const StepRef &step, WaitReason reason,
+                                  const Job &job, Instant arrivedAt) const
+{
+    ReadyStep ready{reason, job.terms.priority, Lateness::OnTime, arrivedAt, step};
     if (job.spec.steps[step.step].isLongRunning)
         return ready; // It has no deadline.
     const Milliseconds objective = objectiveOf(job);
--- a/control/jobs/start_policy.h
+++ b/control/jobs/start_policy.h
@@ -15,9 +15,22 @@
     Expired,
 };
 
-/** A step with tasks that could start. The fields are the sort key of the queue. */
+/** Why tasks of a step wait. */
+enum class WaitReason {
+    /** Long-running tasks that were started before and must run until their job is cancelled. */
+    Restart,
+    /** All other tasks. */
+    Start,
+};
+
+/** Returns the reason why \a task of \a step waits, if it does not run. Reentrant. */
+[[nodiscard]] WaitReason waitReasonOf(const StepSpec &step, const TaskProgress &task);
+
+/** The tasks of a step that could start and wait for the same reason. The fields are the sort key
+ * of the queue. */
 struct ReadyStep
 {
+    WaitReason reason = WaitReason::Start;
     std::int64_t priority = 0;
     Lateness lateness = Lateness::OnTime;
     /** The latest start that keeps the job within `lateness`. */
@@ -37,22 +50,23 @@
     StepOrder &operator=(const StepOrder &) = delete;
     virtual ~StepOrder() = default;
 
-    /** Returns the queue entry, as of \a now, for \a step of \a job, which arrived at \a arrivedAt.
-     * Lower values are served first. Reentrant. */
-    [[nodiscard]] virtual ReadyStep rank(Instant now, const StepRef &step, const Job &job,
-                                         Instant arrivedAt) const = 0;
+    /** Returns the queue entry, as of \a now, for the tasks of \a step of \a job that wait for
+     * \a reason. The job arrived at \a arrivedAt. Lower values are served first. Reentrant. */
+    [[nodiscard]] virtual ReadyStep rank(Instant now, const StepRef &step, WaitReason reason,
+                                         const Job &job, Instant arrivedAt) const = 0;
 };
 
 /**
- * Orders steps by queue priority, then by lateness class, then by earliest deadline first. Jobs
- * that can still be on time precede those that can only be late, which precede expired ones, so
- * that a burst makes some jobs late instead of all.
+ * Orders restarts before all other starts, whatever their queue, since they only take back what
+ * the task had. Then orders steps by queue priority, then by lateness class, then by earliest
+ * deadline first. Jobs that can still be on time precede those that can only be late, which precede
+ * expired ones, so that a burst makes some jobs late instead of all.
  */
 class DeadlineStepOrder final : public StepOrder
 {
 public:
-    [[nodiscard]] ReadyStep rank(Instant now, const StepRef &step, const Job &job,
-                                 Instant arrivedAt) const override;
+    [[nodiscard]] ReadyStep rank(Instant now, const StepRef &step, WaitReason reason,
+                                 const Job &job, Instant arrivedAt) const override;
 };
 
 /** Length of the critical path from the start of \a step to the end of its job, by the submitter's
--- a/tests/control/jobs/leased_worker.cpp
+++ b/tests/control/jobs/leased_worker.cpp
@@ -15,11 +15,11 @@
 } // namespace
 
 LeasedWorker::LeasedWorker(WorkerReport report, VirtualTime &time, RunWitness &witness,
-                           RunDuration duration)
+                           RunScript script)
     : m_report(std::move(report))
     , m_time(time)
     , m_witness(witness)
-    , m_duration(std::move(duration))
+    , m_script(std::move(script))
 {}
 
 std::int64_t LeasedWorker::clock() const
@@ -78,11 +78,13 @@
     m_running.emplace(order.task, order.run);
     m_witness.recordStart(order.task, order.run, m_report.incarnation);
     extendLease(leaseUntil);
-    m_time.after(m_duration(order.task), [this, task = order.task, run = order.run] {
-        const auto found = m_running.find(task);
-        if (found != m_running.end() && found->second == run)
-            end(task, RunEnding::Done);
-    });
+    const RunCourse course = m_script(order.task);
+    m_time.after(course.duration,
+                 [this, task = order.task, run = order.run, ending = course.ending] {
+                     const auto found = m_running.find(task);
+                     if (found != m_running.end() && found->second == run)
+                         end(task, ending);
+                 });
     return WorkerVerdict::Done;
 }
 
--- a/tests/control/jobs/leased_worker.h
+++ b/tests/control/jobs/leased_worker.h
@@ -17,10 +17,17 @@
 {
 public:
     using Reply = std::function<void(WorkerAnswer)>;
-    using RunDuration = std::function<VirtualTime::Span(const JobTaskRef &)>;
+    /** How long a run takes, unless it is killed, and how it ends. */
+    struct RunCourse
+    {
+        VirtualTime::Span duration{0};
+        RunEnding ending = RunEnding::Done;
+    };
+    /** Called at the start of each run. */
+    using RunScript = std::function<RunCourse(const JobTaskRef &)>;
 
     /** \a time and \a witness must outlive this object. */
-    LeasedWorker(WorkerReport report, VirtualTime &time, RunWitness &witness, RunDuration duration);
+    LeasedWorker(WorkerReport report, VirtualTime &time, RunWitness &witness, RunScript script);
 
     /** Handles a call whose bytes have arrived. */
     void receive(const CallWorker &call, Reply reply);
@@ -47,7 +54,7 @@
     WorkerReport m_report;
     VirtualTime &m_time;
     RunWitness &m_witness;
-    RunDuration m_duration;
+    RunScript m_script;
     Fence m_fence;
     std::uint64_t m_heartbeats = 0;
     std::int64_t m_leaseUntil = 0;
--- a/tests/control/jobs/loaded_cell.cpp
+++ b/tests/control/jobs/loaded_cell.cpp
@@ -89,7 +89,7 @@
         const WorkerIncarnation incarnation = report.incarnation;
         m_workers.emplace(incarnation,
                           LeasedWorker(report, m_time, m_witness, [this](const JobTaskRef &task) {
-                              return durationOf(task);
+                              return LeasedWorker::RunCourse{durationOf(task)};
                           }));
         m_time.after(milliseconds(index % HeartbeatInterval.count()),
                      [this, incarnation] { sendHeartbeat(incarnation); });
--- a/tests/control/jobs/start_policy_test.cpp
+++ b/tests/control/jobs/start_policy_test.cpp
@@ -36,10 +36,10 @@
 class ArrivalStepOrder final : public StepOrder
 {
 public:
-    [[nodiscard]] ReadyStep rank(Instant, const StepRef &step, const Job &job,
+    [[nodiscard]] ReadyStep rank(Instant, const StepRef &step, WaitReason reason, const Job &job,
                                  Instant arrivedAt) const override
     {
-        return {job.terms.priority, Lateness::OnTime, arrivedAt, step};
+        return {reason, job.terms.priority, Lateness::OnTime, arrivedAt, step};
     }
 };
 
@@ -89,8 +89,8 @@
         while (std::int64_t(busyUntil.size()) < Slots && !waiting.empty()) {
             std::optional<ReadyStep> first;
             for (const auto &[id, each] : waiting) {
-                const ReadyStep ready
-                        = order.rank(now, stepOf(id.value()), each.job, each.arrivedAt);
+                const ReadyStep ready = order.rank(now, stepOf(id.value()), WaitReason::Start,
+                                                   each.job, each.arrivedAt);
                 if (!first.has_value() || ready < *first)
                     first = ready;
             }
@@ -127,8 +127,10 @@
     const StepRef first = stepOf("00000000000000aa", 0);
     const StepRef second = stepOf("00000000000000aa", 1);
     // The objective is two seconds of work, half as much again and a quarter of a second.
-    CHECK(order.rank(Start, first, job, Start).latestStart == Start + Milliseconds(1250));
-    CHECK(order.rank(Start, second, job, Start).latestStart == Start + Milliseconds(2250));
+    CHECK(order.rank(Start, first, WaitReason::Start, job, Start).latestStart
+          == Start + Milliseconds(1250));
+    CHECK(order.rank(Start, second, WaitReason::Start, job, Start).latestStart
+          == Start + Milliseconds(2250));
 }
 
 TEST_CASE("Jobs that can still be on time go before late ones, and those before expired ones")
@@ -136,7 +138,8 @@
     const DeadlineStepOrder order;
     const Job job = makeRanked({makeStep(1, 100)});
     const auto rankedAfter = [&](std::int64_t milliseconds, const char *id) {
-        return order.rank(Start + Milliseconds(milliseconds), stepOf(id), job, Start);
+        return order.rank(Start + Milliseconds(milliseconds), stepOf(id), WaitReason::Start, job,
+                          Start);
     };
     // One second of work: on time within 1,750 ms, of use within three times that.
     CHECK(rankedAfter(750, "a").lateness == Lateness::OnTime);
@@ -144,7 +147,8 @@
     CHECK(rankedAfter(4250, "a").lateness == Lateness::Late);
     CHECK(rankedAfter(4251, "a").lateness == Lateness::Expired);
     const Instant now = Start + Milliseconds(800);
-    CHECK(order.rank(now, stepOf("b"), job, now) < order.rank(now, stepOf("a"), job, Start));
+    CHECK(order.rank(now, stepOf("b"), WaitReason::Start, job, now)
+          < order.rank(now, stepOf("a"), WaitReason::Start, job, Start));
     CHECK(rankedAfter(4250, "b") < rankedAfter(4251, "a"));
 }
 
@@ -154,7 +158,8 @@
     const Instant now = Start + Milliseconds(60'000);
     const Job urgent = makeRanked({makeStep(1, 100)}, 0);
     const Job other = makeRanked({makeStep(1, 100)}, 2);
-    CHECK(order.rank(now, stepOf("b"), urgent, Start) < order.rank(now, stepOf("a"), other, now));
+    CHECK(order.rank(now, stepOf("b"), WaitReason::Start, urgent, Start)
+          < order.rank(now, stepOf("a"), WaitReason::Start, other, now));
 }
 
 TEST_CASE("Long-running tasks never expire")
@@ -163,10 +168,36 @@
     StepSpec step = makeStep(3, 100);
     step.isLongRunning = true;
     const Job job = makeRanked({step});
-    CHECK(order.rank(Start + Milliseconds(600'000), stepOf("a"), job, Start).lateness
+    CHECK(order.rank(Start + Milliseconds(600'000), stepOf("a"), WaitReason::Start, job, Start)
+                  .lateness
           == Lateness::OnTime);
 }
 
+TEST_CASE("Long-running tasks that ran before go before all first starts, whatever their queue")
+{
+    // Guards against long-running tasks that stay down while jobs of a more urgent queue wait.
+    const DeadlineStepOrder order;
+    StepSpec step = makeStep(3, 100);
+    step.isLongRunning = true;
+    const Job lasting = makeRanked({step}, 2);
+    const Job urgent = makeRanked({makeStep(1, 100)}, 0);
+    const ReadyStep first = order.rank(Start, stepOf("a"), WaitReason::Start, urgent, Start);
+    CHECK(order.rank(Start, stepOf("b"), WaitReason::Restart, lasting, Start) < first);
+    CHECK(first < order.rank(Start, stepOf("b"), WaitReason::Start, lasting, Start));
+}
+
+TEST_CASE("Only a long-running task that ran before waits for a restart")
+{
+    // Guards against retries of ordinary tasks that take precedence over first starts.
+    StepSpec step = makeStep(1, 100);
+    TaskProgress task;
+    task.lastRun = RunNumber(1);
+    CHECK(waitReasonOf(step, task) == WaitReason::Start);
+    step.isLongRunning = true;
+    CHECK(waitReasonOf(step, task) == WaitReason::Restart);
+    CHECK(waitReasonOf(step, TaskProgress()) == WaitReason::Start);
+}
+
 TEST_CASE("In a burst of short jobs, more are on time than with first come, first served")
 {
     for (const std::uint32_t seed : {1U, 2U, 3U}) {
