Refuse an announcement whose address is not http://IP:PORT

Cause: an announcement's address was any text, so a port of 99999, -1, 0 or twenty digits, an address without a port and another scheme were accepted, and a worker was listed that no order can reach. Three places parsed IP:PORT, one of them without a check of the IP, with signs and white space allowed in the port. Change: servers/socket_address is the one function that parses IP:PORT (IPv4, port 1 to 65535, digits only); announcements, the platform's settings file and the options of serve use it. The fuzz test's valid announcement has such an address now; with "http://w" each of its mutations would be refused.

--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -46,7 +46,7 @@
 std::vector<HostId> seedHosts(const platform::BootSettings &boot)
 {
     std::vector<HostId> seeds;
-    for (const platform::SocketAddress &seed : boot.seeds)
+    for (const SocketAddress &seed : boot.seeds)
         seeds.push_back(makeHostId(seed.ip, boot));
     return seeds;
 }
--- a/main/serve_settings.cpp
+++ b/main/serve_settings.cpp
@@ -5,19 +5,18 @@
 #include "main/arguments.h"
 #include "main/flat_text.h"
 #include "servers/request_decoder.h"
+#include "servers/socket_address.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <utility>
 
 namespace gentiancross {
 
 namespace {
 
-constexpr std::int64_t MaxPort = 65'535;
 constexpr std::int64_t MillisecondsPerHour = 3'600'000;
 constexpr std::int64_t MillisecondsPerDay = 24 * MillisecondsPerHour;
 /** Contact with the log is confirmed by heartbeats, so even in normal operation its last
@@ -36,15 +35,11 @@
 absl::Status parseAddress(const std::string &flag, const std::string &text, std::string &ip,
                           std::uint16_t &port)
 {
-    const std::vector<std::string> parts = absl::StrSplit(text, ':');
-    in_addr address = {};
-    std::int64_t number = 0;
-    const bool isValid = parts.size() == 2 && ::inet_pton(AF_INET, parts[0].c_str(), &address) == 1
-            && absl::SimpleAtoi(parts[1], &number) && number >= 1 && number <= MaxPort;
-    if (!isValid)
+    std::optional<SocketAddress> address = parseSocketAddress(text);
+    if (!address.has_value())
         return makeSettingsError("--" + flag + " must be IP:PORT, not \"" + text + '"');
-    ip = parts[0];
-    port = static_cast<std::uint16_t>(number);
+    ip = std::move(address->ip);
+    port = address->port;
     return absl::OkStatus();
 }
 
--- a/servers/worker_codec.cpp
+++ b/servers/worker_codec.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "drivers/codec.h"
 #include "servers/json_fields.h"
+#include "servers/socket_address.h"
 
 namespace gentiancross::workercodec {
 
@@ -36,6 +37,12 @@
     return finished;
 }
 
+bool isHttpAddress(std::string_view text)
+{
+    constexpr std::string_view Scheme = "http://";
+    return text.starts_with(Scheme) && parseSocketAddress(text.substr(Scheme.size())).has_value();
+}
+
 Json::Value idList(const std::vector<TaskId> &tasks)
 {
     Json::Value list(Json::arrayValue);
@@ -73,6 +80,8 @@
     fields.require("address", announcement.address);
     fields.require("data_centre", announcement.dataCentre.value());
     fields.require("session", announcement.session.value());
+    if (!isHttpAddress(announcement.address))
+        fields.fail("address must be http://IP:PORT");
     if (!fields.error().empty())
         return makeError(absl::StatusCode::kInvalidArgument, Step::Decode, "", fields.error());
     return announcement;
--- a/tests/servers/message_fuzz_test.cpp
+++ b/tests/servers/message_fuzz_test.cpp
@@ -144,7 +144,7 @@
                   R"({"millicores":100,"memory_mib":5},"deadline_ms":900,)"
                   R"("tasks":1,"selector":{"a":"b"},"run_ms":7})"},
                  {"POST", "/v1/announcements",
-                  R"({"worker":"w","address":"http://w","data_centre":"hobart","rack":"r",)"
+                  R"({"worker":"w","address":"http://10.0.0.1:80","data_centre":"hobart","rack":"r",)"
                   R"("capacity":{"millicores":1000,"memory_mib":1000,"slots":4},"labels":{"a":"b"},)"
                   R"("session":"w1","now_ms":5000000,"epoch":1,"leaving":false,"running":)"
                   R"([{"task":"hobart:t:first/0/1","team":"t","reserved":{"millicores":1}}],)"
--- a/tests/servers/request_decoder_test.cpp
+++ b/tests/servers/request_decoder_test.cpp
@@ -50,6 +50,41 @@
     CHECK_FALSE(event.status().message().empty());
 }
 
+// Guards against an announcement whose address names no port that can be called.
+TEST_CASE("An announcement with an odd address, number or nesting is refused")
+{
+    const auto isAccepted = [](const std::string &field) {
+        const std::string body
+                = R"({"worker":"w","address":"http://10.0.0.1:80","data_centre":"d",)"
+                  R"("session":"s","now_ms":5,"capacity":{"millicores":1000}})";
+        const std::string name = field.substr(0, field.find(':'));
+        const std::size_t from = body.find(name);
+        REQUIRE(from != std::string::npos);
+        const std::size_t to = body.find_first_of(",}", from);
+        return decodeRequest(request("POST", "/v1/announcements",
+                                     body.substr(0, from) + field + body.substr(to)),
+                             fromCallers)
+                .ok();
+    };
+    CHECK(isAccepted(R"("address":"http://10.0.0.1:65535")"));
+    const std::string nested = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string &field :
+         {std::string(R"("address":"http://10.0.0.1:99999")"),
+          std::string(R"("address":"http://10.0.0.1:-1")"),
+          std::string(R"("address":"http://10.0.0.1:0")"),
+          std::string(R"("address":"http://10.0.0.1:12345678901234567890")"),
+          std::string(R"("address":"http://10.0.0.1")"), std::string(R"("address":"10.0.0.1:80")"),
+          std::string(R"("address":"http://10.0.0.1:80/x")"),
+          std::string(R"("address":"file://10.0.0.1:80")"), "\"address\":" + nested,
+          std::string(R"("now_ms":1e308)"), std::string(R"("now_ms":1e400)"),
+          std::string(R"("now_ms":18446744073709551616)"), std::string(R"("now_ms":-1)"),
+          std::string(R"("millicores":1e308)"), std::string(R"("millicores":-1)"),
+          std::string(R"("millicores":18446744073709551616)"), "\"now_ms\":" + nested}) {
+        INFO(field.substr(0, 60));
+        CHECK_FALSE(isAccepted(field));
+    }
+}
+
 TEST_CASE("Ambiguous or malformed idempotency keys are refused")
 {
     const auto *const name = GENERATE("~1", "a b", "a/b/c", "x:y", "/x", "x/", "\xc3\xa9");
