--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace gentiancross;
 using namespace gentiancross::platform;
@@ -41,6 +43,14 @@
     return text.replace(at, from.size(), to);
 }
 
+std::optional<WorkerHeartbeat> decodeHeartbeat(const std::string &worker, const std::string &body)
+{
+    std::string defect;
+    std::optional<WorkerHeartbeat> heartbeat = platform::decodeHeartbeat(worker, body, defect);
+    CHECK(heartbeat.has_value() == defect.empty());
+    return heartbeat;
+}
+
 bool isDecodable(const std::string &body)
 {
     std::string defect;
@@ -149,6 +159,87 @@
     CHECK_FALSE(decodeHeartbeat("", heartbeatText).has_value());
 }
 
+// Guards against an odd heartbeat that registers a worker which can't be called, or whose numbers
+// make a true worker look lost.
+TEST_CASE("A heartbeat with an odd address, id or number, or without a field, names no worker")
+{
+    const auto isRefused = [](const std::string &id, const std::string &body) {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/instances/" + id + "/heartbeat";
+        request.body = body;
+        const DecodedCall decoded = decodeControlCall(request);
+        const auto *const refused = std::get_if<CallRefused>(&decoded.call);
+        return refused != nullptr && refused->refusal == Refusal::Malformed
+                && !refused->reason.empty();
+    };
+    CHECK_FALSE(isRefused("i-1", heartbeatText));
+    const std::vector<std::pair<std::string, std::vector<std::string>>> oddValues
+            = {{R"("addr":"10.128.0.9:8080")",
+                {R"("10.128.0.9:99999")", R"("10.128.0.9:-1")", R"("10.128.0.9:0")",
+                 R"("10.128.0.9:12345678901234567890")", R"("10.128.0.9")", R"("10.128.0.9:")",
+                 R"("worker:80")", R"("10.128.0.999:80")", R"("10.128.0.9: 80")",
+                 R"("u@10.128.0.9:80")", R"("10.128.0.9\u0000:80")", R"("10.128.0.9:80/x")", "7",
+                 "{}"}},
+               {R"("service":"s")", {"7", "[]", R"("")"}},
+               {R"("zone":"hobart")", {"7", "{}"}},
+               {R"("state":"ready")", {"7", R"("dreaming")"}},
+               {R"("labels":["a","r1-3"])", {R"([["a"]])", R"({"a":"b"})", R"("a")"}},
+               {R"("clock_ms":482113)",
+                {"1e308", "1e400", "18446744073709551616", "9007199254740991", "-1", "0.5",
+                 "12345678901234567890", R"("1")", "null"}},
+               {R"("seq":4)",
+                {"1e308", "1e400", "18446744073709551616", "9007199254740991", "-1", "0.5", "[]"}},
+               {R"("born":1790000000000)",
+                {"1e308", "1e400", "18446744073709551616", "9007199254740991", "-1", "0.5", "[]"}},
+               {R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":1})",
+                {"7", R"({"cpu":1e308})", R"({"cpu":-1})", R"({"cpu":9007199254740991})",
+                 R"({"mem_mb":9007199254740991})", R"({"gpu":9007199254740991})"}}};
+    for (const auto &[field, values] : oddValues) {
+        const std::string name = field.substr(0, field.find(':') + 1);
+        for (const std::string &value : values) {
+            INFO(name << value);
+            CHECK(isRefused("i-1", replaced(heartbeatText, field, name + value)));
+        }
+        INFO("without " << name);
+        // A worker may have no labels.
+        const std::string without = replaced(heartbeatText, field, "\"other\":0");
+        CHECK(isRefused("i-1", without) == (name != "\"labels\":"));
+        CHECK(isRefused("i-1", replaced(heartbeatText, field, name + std::string(200'000, '['))));
+    }
+    CHECK(isRefused(std::string(5000, 'i'), heartbeatText));
+    CHECK(isRefused("i-1\r\nHost: other", heartbeatText));
+}
+
+// Guards against a list that is nested too deeply or has numbers that a count can't have.
+TEST_CASE("An answer with odd lists counts as no answer")
+{
+    const std::string row = R"([58,"5c.0.1.9",1,"done",""])";
+    const auto verdictOf = [](const std::string &running, const std::string &ended) {
+        return decodeAnswer(CallId(1), AnswerFormat::RunLists, 200,
+                            R"({"clock_ms":1,"running":[)" + running + R"(],"ended":[)" + ended
+                                    + "]}")
+                .verdict;
+    };
+    CHECK(verdictOf(R"(["5c.0.1.17",2,"0bb8",1e308,1e308])", row) == WorkerVerdict::Done);
+    for (const char *number : {"1e308", "1e400", "18446744073709551616", "18446744073709551615",
+                               "-1", "0.5", "[]", "12345678901234567890"}) {
+        INFO(number);
+        CHECK(verdictOf("[\"5c.0.1.17\"," + std::string(number) + "]", "")
+              == WorkerVerdict::NoAnswer);
+        CHECK(verdictOf("", replaced(row, "58", number)) == WorkerVerdict::NoAnswer);
+        CHECK(verdictOf("", replaced(row, ",1,", "," + std::string(number) + ","))
+              == WorkerVerdict::NoAnswer);
+    }
+    for (const std::size_t depth : {std::size_t(900), std::size_t(5000), std::size_t(200'000)}) {
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        CHECK(verdictOf(nested, "") == WorkerVerdict::NoAnswer);
+        CHECK(verdictOf("", nested) == WorkerVerdict::NoAnswer);
+        CHECK(decodeAnswer(CallId(1), AnswerFormat::Acknowledgement, 409, nested).verdict
+              == WorkerVerdict::Refused);
+    }
+}
+
 TEST_CASE("Orders are encoded in the platform's format")
 {
     CallWorker call;
