Refuse heartbeats and answers of workers that are too large, undecoded

Cause: a message of a worker was decoded whatever its size, and a decoded list of numbers takes some fifty times its text. Memory over the limit ends the process. Such an answer counts as no answer.

--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -211,6 +211,24 @@
     CHECK(isRefused("i-1\r\nHost: other", heartbeatText));
 }
 
+// Guards against a message of a few megabytes that takes a hundred times its size when decoded.
+TEST_CASE("A heartbeat or an answer that is too large is not decoded")
+{
+    std::string numbers;
+    for (int index = 0; index < 1'000'000; ++index)
+        numbers += "0,";
+    const std::string large = ",\"x\":[" + numbers + "0]}";
+    CHECK(decodeHeartbeat("i-1", heartbeatText).has_value());
+    CHECK_FALSE(decodeHeartbeat("i-1", heartbeatText.substr(0, heartbeatText.size() - 1) + large)
+                        .has_value());
+    const std::string lists = R"({"clock_ms":1,"born":17,"running":[],"ended":[])";
+    const auto verdictOf = [](const std::string &body) {
+        return decodeAnswer(CallId(1), AnswerFormat::RunLists, 200, body).verdict;
+    };
+    CHECK(verdictOf(lists + "}") == WorkerVerdict::Done);
+    CHECK(verdictOf(lists + large) == WorkerVerdict::NoAnswer);
+}
+
 // Guards against a list that is nested too deeply or has numbers that a count can't have.
 TEST_CASE("An answer with odd lists counts as no answer")
 {
