Refuse a heartbeat that replaces a worker by one born in the future

Cause: a heartbeat with a later birth replaces the tracked incarnation of the same name or address. An odd one with a birth an hour ahead, sent with a healthy worker's name or with its address only, ended that worker's incarnation: its run counted as lost and was started elsewhere while it was executing, and the worker's own heartbeats counted as late from then on. A birth that replaces nobody is not compared, so a host whose clock is far behind still takes workers.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/cell_leader.h"
 
+#include "control/jobs/heartbeat_check.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -168,7 +170,7 @@
     m_callHandler.handle(origin, call);
 }
 
-void CellLeader::handle(Instant now, Milliseconds, const CallOrigin &origin,
+void CellLeader::handle(Instant now, Milliseconds wall, const CallOrigin &origin,
                         const WorkerHeartbeat &call, Outbox &out)
 {
     const WorkerIncarnation &incarnation = call.report.incarnation;
@@ -185,6 +187,10 @@
         }
         replaced.push_back(other);
     }
+    if (!replaced.empty() && !heartbeatcheck::isPlausibleBirth(incarnation.born, wall)) {
+        refuse(origin, incarnation, "its birth is in the future", out);
+        return;
+    }
     PooledWorker *worker = m_pool.find(incarnation);
     const bool isNew = worker == nullptr;
     if (isNew && hasLeft(incarnation)) {
@@ -219,6 +225,15 @@
     answer(origin, taken);
 }
 
+void CellLeader::refuse(const CallOrigin &origin, const WorkerIncarnation &incarnation,
+                        const char *reason, Outbox &out)
+{
+    out.add(LogLine{
+            true, incarnation.worker.value(),
+            absl::StrCat("heartbeat refused: ", reason, ": born=", incarnation.born.value())});
+    answer(origin, CallRefused{Refusal::Malformed, reason, {}});
+}
+
 bool CellLeader::hasLeft(const WorkerIncarnation &incarnation) const
 {
     const std::vector<WorkerIncarnation> &left = m_store.leftWorkers;
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -120,6 +120,9 @@
     void handle(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
                 Outbox &out);
 
+    /** Refuses a heartbeat that can't be the worker's own. */
+    void refuse(const CallOrigin &origin, const WorkerIncarnation &incarnation, const char *reason,
+                Outbox &out);
     /** True if this incarnation has announced its end. */
     [[nodiscard]] bool hasLeft(const WorkerIncarnation &incarnation) const;
     /** False while the occurrences in progress already have as many tasks as a job may have. */
--- /dev/null
+++ b/control/jobs/heartbeat_check.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "control/jobs/worker_pool.h"
+
+/**
+ * Tells whether a heartbeat can be a worker's own. Another writer can send one with the name, the
+ * address or the birth of a healthy worker. All functions are reentrant.
+ */
+namespace gentiancross::heartbeatcheck {
+
+/** False if \a born is later than \a wall, this host's wall clock, by more than clocks can differ.
+ */
+bool isPlausibleBirth(Milliseconds born, Milliseconds wall);
+
+} // namespace gentiancross::heartbeatcheck
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -111,6 +111,28 @@
     CHECK(bench.leader().store().workers.empty());
 }
 
+// Guards against an odd heartbeat with a healthy worker's name or address, which made its runs
+// start elsewhere while they were executing.
+TEST_CASE("A heartbeat with a birth in the future replaces no worker and ends no run")
+{
+    constexpr std::int64_t Future = 1'000'000 + 3'600'000;
+    const std::string name = GENERATE("w", "odd");
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    bench.sendHeartbeat("v");
+    WorkerHeartbeat odd = makeHeartbeat(1);
+    odd.report.incarnation = makeIncarnation(name, Future);
+    CHECK(std::holds_alternative<CallRefused>(bench.call(odd)));
+    CHECK(bench.takeStarts().empty());
+    CHECK(bench.leader().store().workers.contains(makeIncarnation("w")));
+    CHECK_FALSE(bench.leader().store().workers.contains(odd.report.incarnation));
+}
+
 // Guards against a record with more tasks than fit in memory, which would crash every keeper.
 TEST_CASE("A record of a job that no caller may submit is ignored")
 {
