Refuse a heartbeat whose sequence number jumps

Cause: one heartbeat with a sequence number far too large made all later ones of the worker count as late, at the leader and at the host that collects heartbeats for it, so the worker got no more work while it was healthy. The leader refuses others with a warning; the collector leaves them to the leader, and knows the number that the leader has acknowledged.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -202,6 +202,12 @@
         answer(origin, taken);
         return;
     }
+    if (!isNew
+        && !heartbeatcheck::isPlausibleSequence(worker->lastSequence, call.sequence,
+                                                now - worker->lastHeartbeat)) {
+        refuse(origin, incarnation, "its sequence number jumps", out);
+        return;
+    }
     WorkerReport report = call.report;
     report.isDraining = report.isDraining || (!isNew && worker->report.isDraining);
     const bool changed = isNew || worker->report.isDraining != report.isDraining
@@ -240,7 +246,8 @@
     return std::find(left.begin(), left.end(), incarnation) != left.end();
 }
 
-UnknownIncarnationsReport CellLeader::receive(Instant now, const HeartbeatsReport &seen)
+UnknownIncarnationsReport CellLeader::receive(Instant now, const HeartbeatsReport &seen,
+                                              Outbox &out)
 {
     UnknownIncarnationsReport unknown;
     for (const AcknowledgedHeartbeat &heartbeat : seen.heartbeats) {
@@ -251,6 +258,12 @@
         }
         if (heartbeat.sequence <= worker->lastSequence)
             continue;
+        if (!heartbeatcheck::isPlausibleSequence(worker->lastSequence, heartbeat.sequence,
+                                                 now - worker->lastHeartbeat)) {
+            out.add(LogLine{true, heartbeat.incarnation.worker.value(),
+                            "heartbeat ignored: its sequence number jumps"});
+            continue;
+        }
         worker->lastSequence = heartbeat.sequence;
         const Instant sentAt = now - std::max(heartbeat.age, Milliseconds(0));
         worker->lastHeartbeat = std::max(worker->lastHeartbeat, sentAt);
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -85,7 +85,7 @@
         m_advice.recordHostSeen(now, host);
     }
     /** Processes heartbeats that a keeper has acknowledged; returns the unknown incarnations. */
-    UnknownIncarnationsReport receive(Instant now, const HeartbeatsReport &seen);
+    UnknownIncarnationsReport receive(Instant now, const HeartbeatsReport &seen, Outbox &out);
     /** Renews leases, repeats orders, detects lost runs and begins due occurrences. */
     void tick(Instant now, Milliseconds wall, Outbox &out);
     /** Decides the starts that are possible now. */
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -249,7 +249,7 @@
     // Only the leader knows the incarnations; this batch for the leader arrived late.
     if (m_leader == nullptr)
         return;
-    UnknownIncarnationsReport unknown = m_leader->receive(m_now, message);
+    UnknownIncarnationsReport unknown = m_leader->receive(m_now, message, m_out);
     if (!unknown.incarnations.empty())
         m_out.send(from, std::move(unknown));
 }
@@ -362,7 +362,7 @@
     const std::optional<CellCall> call = m_relay.receive(answered, m_out);
     const auto *const heartbeat = call.has_value() ? std::get_if<WorkerHeartbeat>(&*call) : nullptr;
     if (taken != nullptr && heartbeat != nullptr)
-        m_heartbeats.recordAcknowledged(m_now, heartbeat->report);
+        m_heartbeats.recordAcknowledged(m_now, *heartbeat);
 }
 
 void CellRoot::handlePeer(const HostId &from, const AdviceRequest &message)
--- a/control/jobs/heartbeat_check.h
+++ b/control/jobs/heartbeat_check.h
@@ -12,4 +12,8 @@
  */
 bool isPlausibleBirth(Milliseconds born, Milliseconds wall);
 
+/** False if an incarnation can't have sent that many heartbeats in the time \a elapsed since the
+ * one numbered \a last. True if \a last is 0, that is, if there was none. */
+bool isPlausibleSequence(std::uint64_t last, std::uint64_t sequence, Milliseconds elapsed);
+
 } // namespace gentiancross::heartbeatcheck
--- a/control/jobs/heartbeat_collector.cpp
+++ b/control/jobs/heartbeat_collector.cpp
@@ -1,5 +1,8 @@
 #include "control/jobs/heartbeat_collector.h"
 
+#include "control/jobs/heartbeat_check.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace gentiancross {
@@ -22,6 +25,9 @@
     // A late heartbeat is acknowledged too; otherwise the worker would send it again.
     if (heartbeat.sequence <= known.lastSequence)
         return true;
+    if (!heartbeatcheck::isPlausibleSequence(known.lastSequence, heartbeat.sequence,
+                                             now - known.lastHeartbeat))
+        return false;
     known.lastHeartbeat = now;
     known.lastSequence = heartbeat.sequence;
     known.clock = heartbeat.clock;
@@ -29,11 +35,12 @@
     return true;
 }
 
-void HeartbeatCollector::recordAcknowledged(Instant now, const WorkerReport &report)
+void HeartbeatCollector::recordAcknowledged(Instant now, const WorkerHeartbeat &heartbeat)
 {
-    Known &known = m_known[report.incarnation];
-    known.report = report;
+    Known &known = m_known[heartbeat.report.incarnation];
+    known.report = heartbeat.report;
     known.lastHeartbeat = now;
+    known.lastSequence = std::max(known.lastSequence, heartbeat.sequence);
 }
 
 void HeartbeatCollector::forget(const UnknownIncarnationsReport &unknown)
--- a/control/jobs/heartbeat_collector.h
+++ b/control/jobs/heartbeat_collector.h
@@ -14,11 +14,11 @@
 class HeartbeatCollector
 {
 public:
-    /** Records a heartbeat. False if its report is new, so that the leader must receive it in full.
-     */
+    /** Records a heartbeat. False if its report is new or its sequence number jumps, so that the
+     * leader must receive it in full. */
     bool absorb(Instant now, const WorkerHeartbeat &heartbeat);
-    /** Records that the leader has acknowledged this report. */
-    void recordAcknowledged(Instant now, const WorkerReport &report);
+    /** Records that the leader has acknowledged this heartbeat. */
+    void recordAcknowledged(Instant now, const WorkerHeartbeat &heartbeat);
     /** Removes incarnations that the leader does not know; their next heartbeats are forwarded in
      * full. */
     void forget(const UnknownIncarnationsReport &unknown);
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -103,6 +103,12 @@
     return m_isLogPaused ? CallAnswer() : m_answers.at(exchange);
 }
 
+void LeaderBench::receive(const HeartbeatsReport &seen)
+{
+    m_leader.receive(m_now, seen, m_out);
+    processDecisions();
+}
+
 CallAnswer LeaderBench::submit(const std::string &id, std::vector<StepSpec> steps,
                                const std::string &key)
 {
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -19,6 +19,8 @@
     /** Applies a configuration with one queue, "checks" at host "h" under "/q/". */
     void configure(const Resources &cap = {}, std::optional<AdviceTerms> advice = {});
     CallAnswer call(const CellCall &call);
+    /** Delivers heartbeats that another host has acknowledged. */
+    void receive(const HeartbeatsReport &seen);
     CallAnswer submit(const std::string &id, std::vector<StepSpec> steps,
                       const std::string &key = "key-of-alpha");
     CallAnswer queryJob(const std::string &id, JobVerb verb = JobVerb::Status);
