Reckon leases of open runs by the clock in the worker's answers only

Cause: a heartbeat's clock was taken if it was later than expected. An odd one, 5 s or an hour ahead, made the lease of an executing run count as lapsed, so its task was started elsewhere while it was executing; at an idle worker it made the next lease end that much later. Change: a heartbeat's clock is ignored while the worker has open runs, whose answers tell its clock, and, with a warning, if it is more than 2 s ahead of what the worker's clock can show.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -225,7 +225,7 @@
     worker->isAnnounced = true;
     worker->lastHeartbeat = now;
     worker->lastSequence = call.sequence;
-    WorkerPool::advanceClock(*worker, now, call.clock);
+    recordClock(*worker, now, call.clock, out);
     for (const WorkerIncarnation &other : replaced)
         m_runs.replaceIncarnation(now, other, incarnation, {}, out);
     answer(origin, taken);
@@ -240,6 +240,19 @@
     answer(origin, CallRefused{Refusal::Malformed, reason, {}});
 }
 
+void CellLeader::recordClock(PooledWorker &worker, Instant at, std::int64_t clock, Outbox &out)
+{
+    // Leases of open runs end by the clock in the worker's own answers only.
+    if (worker.clock.has_value() && !worker.runs.empty())
+        return;
+    if (heartbeatcheck::isPlausibleClock(worker, at, clock))
+        WorkerPool::advanceClock(worker, at, clock);
+    else
+        out.add(LogLine{true, worker.report.incarnation.worker.value(),
+                        absl::StrCat("clock of a heartbeat ignored: clock=", clock,
+                                     " last=", *worker.clock)});
+}
+
 bool CellLeader::hasLeft(const WorkerIncarnation &incarnation) const
 {
     const std::vector<WorkerIncarnation> &left = m_store.leftWorkers;
@@ -267,7 +280,7 @@
         worker->lastSequence = heartbeat.sequence;
         const Instant sentAt = now - std::max(heartbeat.age, Milliseconds(0));
         worker->lastHeartbeat = std::max(worker->lastHeartbeat, sentAt);
-        WorkerPool::advanceClock(*worker, sentAt, heartbeat.clock);
+        recordClock(*worker, sentAt, heartbeat.clock, out);
     }
     return unknown;
 }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -123,6 +123,8 @@
     /** Refuses a heartbeat that can't be the worker's own. */
     void refuse(const CallOrigin &origin, const WorkerIncarnation &incarnation, const char *reason,
                 Outbox &out);
+    /** Takes the clock reading of a heartbeat sent at \a at, unless it can't be the worker's. */
+    static void recordClock(PooledWorker &worker, Instant at, std::int64_t clock, Outbox &out);
     /** True if this incarnation has announced its end. */
     [[nodiscard]] bool hasLeft(const WorkerIncarnation &incarnation) const;
     /** False while the occurrences in progress already have as many tasks as a job may have. */
--- a/control/jobs/heartbeat_check.cpp
+++ b/control/jobs/heartbeat_check.cpp
@@ -12,6 +12,10 @@
 constexpr std::int64_t MinHeartbeatIntervalMs = 100;
 /** Covers heartbeats that were under way when the last one arrived. */
 constexpr std::uint64_t MaxSequenceLead = 20;
+/** Highest rate of a worker's clock relative to this host's, in thousandths. */
+constexpr std::int64_t FastestClockPermille = 1020;
+/** Covers the time for which the last reading was under way. */
+constexpr std::int64_t MaxClockLeadMs = 2000;
 
 } // namespace
 
@@ -28,4 +32,12 @@
     return sequence - last <= static_cast<std::uint64_t>(sent) + MaxSequenceLead;
 }
 
+bool isPlausibleClock(const PooledWorker &worker, Instant at, std::int64_t clock)
+{
+    if (!worker.clock.has_value())
+        return true;
+    const std::int64_t elapsed = (at - worker.clockAt).value() * FastestClockPermille / 1000;
+    return clock <= *worker.clock + elapsed + MaxClockLeadMs;
+}
+
 } // namespace gentiancross::heartbeatcheck
--- a/control/jobs/heartbeat_check.h
+++ b/control/jobs/heartbeat_check.h
@@ -16,4 +16,8 @@
  * one numbered \a last. True if \a last is 0, that is, if there was none. */
 bool isPlausibleSequence(std::uint64_t last, std::uint64_t sequence, Milliseconds elapsed);
 
+/** False if the worker's clock can't show \a clock at \a at, a point on this host's clock. True if
+ * the clock is not known yet. */
+bool isPlausibleClock(const PooledWorker &worker, Instant at, std::int64_t clock);
+
 } // namespace gentiancross::heartbeatcheck
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -156,6 +156,36 @@
     CHECK(bench.takeStarts().size() == 1);
 }
 
+// Guards against an odd clock, by which a lease counted as lapsed while the worker still held it.
+TEST_CASE("A heartbeat whose clock jumps ends no run and extends no lease")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    const std::int64_t offset = GENERATE(5'000, 3'600'000);
+    SECTION("while a run is executing")
+    {
+        bench.advance(4000); // A new leader counts no lease as lapsed earlier.
+        bench.sendHeartbeat("w");
+        bench.submit(jobA, {makeStep(1, 100)});
+        const std::vector<CallWorker> starts = bench.takeStarts();
+        REQUIRE(starts.size() == 1);
+        bench.answer(starts[0], WorkerVerdict::Done);
+        bench.sendHeartbeat("v");
+        bench.sendHeartbeatAt("w", bench.now().value() + offset);
+        bench.advance(200);
+        CHECK(bench.takeStarts().empty());
+    }
+    SECTION("while the worker is idle")
+    {
+        bench.sendHeartbeatAt("w", bench.now().value() + offset);
+        bench.submit(jobA, {makeStep(1, 100)});
+        const std::vector<CallWorker> starts = bench.takeStarts();
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].leaseUntil <= bench.now().value() + WorkerPool::LeaseLength.value());
+    }
+}
+
 // Guards against a record with more tasks than fit in memory, which would crash every keeper.
 TEST_CASE("A record of a job that no caller may submit is ignored")
 {
