--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/cell_leader.h"
 
+#include "control/jobs/heartbeat_check.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -168,7 +170,7 @@
     m_callHandler.handle(origin, call);
 }
 
-void CellLeader::handle(Instant now, Milliseconds, const CallOrigin &origin,
+void CellLeader::handle(Instant now, Milliseconds wall, const CallOrigin &origin,
                         const WorkerHeartbeat &call, Outbox &out)
 {
     const WorkerIncarnation &incarnation = call.report.incarnation;
@@ -185,6 +187,10 @@
         }
         replaced.push_back(other);
     }
+    if (!replaced.empty() && !heartbeatcheck::isPlausibleBirth(incarnation.born, wall)) {
+        refuse(origin, incarnation, "its birth is in the future", out);
+        return;
+    }
     PooledWorker *worker = m_pool.find(incarnation);
     const bool isNew = worker == nullptr;
     if (isNew && hasLeft(incarnation)) {
@@ -196,6 +202,12 @@
         answer(origin, taken);
         return;
     }
+    if (!isNew
+        && !heartbeatcheck::isPlausibleSequence(worker->lastSequence, call.sequence,
+                                                now - worker->lastHeartbeat)) {
+        refuse(origin, incarnation, "its sequence number jumps", out);
+        return;
+    }
     WorkerReport report = call.report;
     report.isDraining = report.isDraining || (!isNew && worker->report.isDraining);
     const bool changed = isNew || worker->report.isDraining != report.isDraining
@@ -213,19 +225,42 @@
     worker->isAnnounced = true;
     worker->lastHeartbeat = now;
     worker->lastSequence = call.sequence;
-    WorkerPool::advanceClock(*worker, now, call.clock);
+    recordClock(*worker, now, call.clock, out);
     for (const WorkerIncarnation &other : replaced)
         m_runs.replaceIncarnation(now, other, incarnation, {}, out);
     answer(origin, taken);
 }
 
+void CellLeader::refuse(const CallOrigin &origin, const WorkerIncarnation &incarnation,
+                        const char *reason, Outbox &out)
+{
+    out.add(LogLine{
+            true, incarnation.worker.value(),
+            absl::StrCat("heartbeat refused: ", reason, ": born=", incarnation.born.value())});
+    answer(origin, CallRefused{Refusal::Malformed, reason, {}});
+}
+
+void CellLeader::recordClock(PooledWorker &worker, Instant at, std::int64_t clock, Outbox &out)
+{
+    // Leases of open runs end by the clock in the worker's own answers only.
+    if (worker.clock.has_value() && !worker.runs.empty())
+        return;
+    if (heartbeatcheck::isPlausibleClock(worker, at, clock))
+        WorkerPool::advanceClock(worker, at, clock);
+    else
+        out.add(LogLine{true, worker.report.incarnation.worker.value(),
+                        absl::StrCat("clock of a heartbeat ignored: clock=", clock,
+                                     " last=", *worker.clock)});
+}
+
 bool CellLeader::hasLeft(const WorkerIncarnation &incarnation) const
 {
     const std::vector<WorkerIncarnation> &left = m_store.leftWorkers;
     return std::find(left.begin(), left.end(), incarnation) != left.end();
 }
 
-UnknownIncarnationsReport CellLeader::receive(Instant now, const HeartbeatsReport &seen)
+UnknownIncarnationsReport CellLeader::receive(Instant now, const HeartbeatsReport &seen,
+                                              Outbox &out)
 {
     UnknownIncarnationsReport unknown;
     for (const AcknowledgedHeartbeat &heartbeat : seen.heartbeats) {
@@ -236,10 +271,16 @@
         }
         if (heartbeat.sequence <= worker->lastSequence)
             continue;
+        if (!heartbeatcheck::isPlausibleSequence(worker->lastSequence, heartbeat.sequence,
+                                                 now - worker->lastHeartbeat)) {
+            out.add(LogLine{true, heartbeat.incarnation.worker.value(),
+                            "heartbeat ignored: its sequence number jumps"});
+            continue;
+        }
         worker->lastSequence = heartbeat.sequence;
         const Instant sentAt = now - std::max(heartbeat.age, Milliseconds(0));
         worker->lastHeartbeat = std::max(worker->lastHeartbeat, sentAt);
-        WorkerPool::advanceClock(*worker, sentAt, heartbeat.clock);
+        recordClock(*worker, sentAt, heartbeat.clock, out);
     }
     return unknown;
 }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -85,7 +85,7 @@
         m_advice.recordHostSeen(now, host);
     }
     /** Processes heartbeats that a keeper has acknowledged; returns the unknown incarnations. */
-    UnknownIncarnationsReport receive(Instant now, const HeartbeatsReport &seen);
+    UnknownIncarnationsReport receive(Instant now, const HeartbeatsReport &seen, Outbox &out);
     /** Renews leases, repeats orders, detects lost runs and begins due occurrences. */
     void tick(Instant now, Milliseconds wall, Outbox &out);
     /** Decides the starts that are possible now. */
@@ -120,6 +120,11 @@
     void handle(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
                 Outbox &out);
 
+    /** Refuses a heartbeat that can't be the worker's own. */
+    void refuse(const CallOrigin &origin, const WorkerIncarnation &incarnation, const char *reason,
+                Outbox &out);
+    /** Takes the clock reading of a heartbeat sent at \a at, unless it can't be the worker's. */
+    static void recordClock(PooledWorker &worker, Instant at, std::int64_t clock, Outbox &out);
     /** True if this incarnation has announced its end. */
     [[nodiscard]] bool hasLeft(const WorkerIncarnation &incarnation) const;
     /** False while the occurrences in progress already have as many tasks as a job may have. */
--- a/tests/control/jobs/cell_leader_input_test.cpp
+++ b/tests/control/jobs/cell_leader_input_test.cpp
@@ -104,13 +104,88 @@
     LeaderBench bench;
     bench.configure();
     bench.sendHeartbeat("w");
-    const AcknowledgedHeartbeat future{makeIncarnation("w"), 1000, 10'000,
+    const AcknowledgedHeartbeat future{makeIncarnation("w"), 2, 10'000,
                                        Milliseconds(-1'000'000'000)};
-    bench.leader().receive(Instant(10'000), HeartbeatsReport{{future}});
+    bench.receive(HeartbeatsReport{{future}});
     bench.advance(20'000);
     CHECK(bench.leader().store().workers.empty());
 }
 
+// Guards against an odd heartbeat with a healthy worker's name or address, which made its runs
+// start elsewhere while they were executing.
+TEST_CASE("A heartbeat with a birth in the future replaces no worker and ends no run")
+{
+    constexpr std::int64_t Future = 1'000'000 + 3'600'000;
+    const std::string name = GENERATE("w", "odd");
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    bench.submit(jobA, {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    bench.sendHeartbeat("v");
+    WorkerHeartbeat odd = makeHeartbeat(1);
+    odd.report.incarnation = makeIncarnation(name, Future);
+    CHECK(std::holds_alternative<CallRefused>(bench.call(odd)));
+    CHECK(bench.takeStarts().empty());
+    CHECK(bench.leader().store().workers.contains(makeIncarnation("w")));
+    CHECK_FALSE(bench.leader().store().workers.contains(odd.report.incarnation));
+}
+
+// Guards against an odd sequence number, after which a worker's own heartbeats counted as late.
+TEST_CASE("A heartbeat whose sequence number jumps does not make a worker silent")
+{
+    const std::uint64_t jump = GENERATE(std::uint64_t(100), std::uint64_t(1) << 31);
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    SECTION("sent to the leader")
+    {
+        CHECK(std::holds_alternative<CallRefused>(bench.call(makeHeartbeat(jump))));
+    }
+    SECTION("reported by another host")
+    {
+        bench.receive(HeartbeatsReport{{{makeIncarnation("w"), jump, 10'000, {}}}});
+    }
+    for (int beat = 0; beat < 10; ++beat) {
+        bench.advance(1500);
+        bench.sendHeartbeat("w");
+    }
+    bench.submit(jobA, {makeStep(1, 100)});
+    CHECK(bench.takeStarts().size() == 1);
+}
+
+// Guards against an odd clock, by which a lease counted as lapsed while the worker still held it.
+TEST_CASE("A heartbeat whose clock jumps ends no run and extends no lease")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    const std::int64_t offset = GENERATE(5'000, 3'600'000);
+    SECTION("while a run is executing")
+    {
+        bench.advance(4000); // A new leader counts no lease as lapsed earlier.
+        bench.sendHeartbeat("w");
+        bench.submit(jobA, {makeStep(1, 100)});
+        const std::vector<CallWorker> starts = bench.takeStarts();
+        REQUIRE(starts.size() == 1);
+        bench.answer(starts[0], WorkerVerdict::Done);
+        bench.sendHeartbeat("v");
+        bench.sendHeartbeatAt("w", bench.now().value() + offset);
+        bench.advance(200);
+        CHECK(bench.takeStarts().empty());
+    }
+    SECTION("while the worker is idle")
+    {
+        bench.sendHeartbeatAt("w", bench.now().value() + offset);
+        bench.submit(jobA, {makeStep(1, 100)});
+        const std::vector<CallWorker> starts = bench.takeStarts();
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].leaseUntil <= bench.now().value() + WorkerPool::LeaseLength.value());
+    }
+}
+
 // Guards against a record with more tasks than fit in memory, which would crash every keeper.
 TEST_CASE("A record of a job that no caller may submit is ignored")
 {
