--- a/tests/control/jobs/cell_model_test.cpp
+++ b/tests/control/jobs/cell_model_test.cpp
@@ -112,8 +112,9 @@
     check(plan);
 }
 
-// Guards against runs that begin seconds after their leader has given them up, on workers that
-// crash and restart meanwhile.
+// Guards against runs that begin seconds after their leader has given them up, and against orders
+// for a worker that has restarted under its name. Orders that a worker holds are lost when it
+// crashes.
 TEST_CASE("Orders that are mostly carried out late cause no duplicate runs", "[model]")
 {
     ModelPlan plan;
