--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -50,13 +50,19 @@
     return {};
 }
 
-/** Lets "v" execute a job, and the leader acknowledge its end, number 1. */
-void runOneJob(LeaderBench &bench)
+/** Starts a job on "v", which answers the start but has not listed the run yet. */
+void startJob(LeaderBench &bench)
 {
     bench.configure();
     bench.sendHeartbeat("v");
     bench.submit(job, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+}
+
+/** Lets "v" execute a job, and the leader acknowledge its end, number 1. */
+void runOneJob(LeaderBench &bench)
+{
+    startJob(bench);
     bench.answerLeaseRenewal("v", {}, {ended(1, job, 1)});
 }
 
@@ -67,10 +73,7 @@
 TEST_CASE("A run that was answered but never listed is stopped in the next incarnation first")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     bench.sendHeartbeat("w");
     bench.sendHeartbeat("v", 2);
     CHECK(bench.takeStarts().empty());
@@ -97,10 +100,7 @@
 TEST_CASE("An end is acknowledged only after a list that has not been in transit for long")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     WorkerAnswer late;
     late.call = takeRenewal(bench, "v").call;
     late.verdict = WorkerVerdict::Done;
@@ -209,10 +209,7 @@
 TEST_CASE("A worker with a run that the leader does not track gets no other run until it has ended")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1), listed(otherJob, 1)}, {});
     CHECK(bench.takeStops().size() == 1);
     bench.sendHeartbeat("v");
@@ -248,10 +245,7 @@
 TEST_CASE("A stop that an unidentified incarnation has answered is not repeated at once")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)}, {});
     bench.queryJob(job, JobVerb::Cancel);
     bench.advance(400);
@@ -265,10 +259,7 @@
 TEST_CASE("A list that was asked for before the worker became unverified does not verify it")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     const CallWorker former = takeRenewal(bench, "v");
     bench.submit(otherJob, {makeStep(1, 100)});
     const std::vector<CallWorker> starts = bench.takeStarts();
@@ -318,10 +309,7 @@
 TEST_CASE("A worker whose only listed run is not tracked is polled until it is free of it")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     bench.answerWithRuns(takeRenewal(bench, "v"), {listed(otherJob, 1)}, {ended(1, job, 1)});
     CHECK(bench.takeStops().size() == 1);
     bench.answerWithRuns(takeRenewal(bench, "v"), {}, {});
@@ -337,10 +325,7 @@
 {
     constexpr int Rounds = 10;
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     CompletionNumber highest;
     std::vector<ReportedCompletion> ends;
     for (int round = 1; round <= Rounds; ++round) {
@@ -365,10 +350,7 @@
 TEST_CASE("A start is not sent if its worker has become unusable before the record is durable")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit(job, {makeStep(1, 100)});
-    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    startJob(bench);
     const CallWorker renewal = takeRenewal(bench, "v");
     bench.pauseLog();
     bench.submit(thirdJob, {makeStep(1, 100)});
