--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,13 +1,26 @@
-// A heartbeat of another writer makes the system start a worker's tasks elsewhere while the worker
-// runs them.
+// A job of many steps occupies the leader's control thread, and jobs of other tenants stop.
 #include "standin.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int Workers = 6;
-const char *const Job = "00000000000000c1";
+constexpr int Workers = 12;
+constexpr int LargeJobTasks = 800;
+/** The platform's `finish_s`. */
+constexpr std::int64_t FinishMs = 14'000;
+constexpr std::int64_t IdleMs = 3'000;
+const char *const LargeJob = "00000000000000f1";
+
+std::string makeLargeJob(int steps)
+{
+    const std::string count = std::to_string(LargeJobTasks / steps);
+    std::string body = R"({"spec":"ms=1000","steps":[)";
+    for (int step = 0; step < steps; ++step)
+        body += (step > 0 ? "," : "") + (R"({"count":)" + count)
+                + R"(,"cpu":1000,"mem_mb":64,"est_ms":1000})";
+    return body + "]}";
+}
 
 Outcome play(Record &record)
 {
@@ -23,65 +36,85 @@
         options.ip = cell.ip(5, number);
         options.service = ServiceName;
         options.zone = "z" + std::to_string(1 + number % 3);
-        options.rack = "r" + std::to_string(number % 2);
+        options.rack = "r" + std::to_string(number / 6);
         workers.push_back(std::make_unique<Worker>(options, cell.controls(), runs, record));
         if (!workers.back()->start())
             return CouldNotRun;
     }
-    if (!cell.putConfiguration(makeConfiguration(3, {{"r-checks", "/checks/", 0, 3, 250}},
-                                                 {{"tenant-a", {"key-a-1"}, 0}}),
-                               15'000)
+    const std::vector<RouteOptions> routes{{"r-checks", "/checks/", 0, 3, 250},
+                                           {"r-forecasts", "/forecasts/", 2, 3, 1200}};
+    const std::vector<TenantOptions> tenants{{"tenant-a", {"key-a-1"}, 0},
+                                             {"tenant-b", {"key-b-1"}, 0}};
+    if (!cell.putConfiguration(makeConfiguration(3, routes, tenants), 15'000)
         || !cell.waitUntilReady(10'000))
         return CouldNotRun;
     sleepMs(5000);
 
-    const std::string front = cell.fronts()[0];
-    const std::string body
-            = R"({"spec":"ms=9000","steps":[{"count":4,"cpu":4000,"mem_mb":64,"est_ms":9000}]})";
-    if (clientCall(record, front, "POST", std::string("/checks/") + Job, "key-a-1", body).status
-                != 200
-        || !waitFor(5000, [&] { return runs.ofJob(Job).size() == 4; }))
+    const std::vector<std::string> fronts = cell.fronts();
+    const std::string small
+            = R"({"spec":"ms=500","steps":[{"count":2,"cpu":2500,"mem_mb":64,"est_ms":500}]})";
+    std::vector<std::string> accepted;
+    const auto submit = [&](int number) {
+        const std::string job = "00000000000000b" + std::to_string(number);
+        for (std::size_t attempt = 0; attempt < 5; ++attempt) {
+            const std::string &front = fronts[attempt % fronts.size()];
+            if (clientCall(record, front, "POST", "/checks/" + job, "key-b-1", small).status
+                == 200) {
+                accepted.push_back(job);
+                return;
+            }
+            sleepMs(200);
+        }
+    };
+    submit(0);
+    if (accepted.empty() || !waitFor(5000, [&] { return runs.ofJob(accepted[0]).size() == 2; }))
         return CouldNotRun;
-    sleepMs(3000);
+    sleepMs(1500);
 
-    if (hasTrouble()) {
-        const std::string id = runs.ofJob(Job).front().worker;
-        Json::Value json;
-        json["service"] = "metrics-agent";
-        json["addr"] = cell.ip(7, 1) + ":9100";
-        json["zone"] = "z1";
-        json["version"] = "v9";
-        json["slots"] = 1;
-        json["state"] = "ready";
-        json["cold_left_ms"] = 0;
-        json["capacity"]["cpu"] = 100;
-        json["capacity"]["mem_mb"] = 64;
-        json["labels"].append("agent");
-        json["clock_ms"] = 120;
-        json["born"] = Json::Int64(unixMs());
-        json["seq"] = 1;
-        record.line("disruption: another writer's heartbeat, of a service that no configuration "
-                    "names: POST /instances/"
-                    + id + "/heartbeat " + toText(json));
-        const Reply reply = call(cell.controls()[0], "POST", "/instances/" + id + "/heartbeat", {},
-                                 toText(json), 1000);
-        record.line("answer to it: " + std::to_string(reply.status) + ' ' + reply.body);
+    // The same work, as one step if there is to be no disruption.
+    const std::string large = makeLargeJob(hasTrouble() ? LargeJobTasks : 1);
+    record.line("tenant-a hands in a large job of " + std::to_string(LargeJobTasks) + " tasks in "
+                + std::to_string(hasTrouble() ? LargeJobTasks : 1) + " steps, "
+                + std::to_string(large.size()) + " bytes");
+    const Reply reply = call(
+            fronts[0], "POST", std::string("/forecasts/") + LargeJob,
+            {{"Host", QueueHost}, {"Authorization", "Token key-a-1"}, {"Deadline-Ms", "3000"}},
+            large, 3000);
+    record.line("client: POST /forecasts/" + std::string(LargeJob) + " -> "
+                + (reply.status == 0 ? std::string("no answer") : std::to_string(reply.status)));
+    for (int number = 1; number <= 5; ++number) {
+        submit(number);
+        sleepMs(300);
+    }
+    record.line("the traffic ends here; accepted jobs of tenant-b: "
+                + std::to_string(accepted.size()));
+    sleepMs(FinishMs);
+    std::set<std::string> idle(accepted.begin(), accepted.end());
+    std::size_t most = 0;
+    for (const std::int64_t end = nowMs() + IdleMs; nowMs() < end; sleepMs(20)) {
+        std::size_t running = 0;
+        for (const auto &worker : workers)
+            running += worker->runningCount();
+        most = std::max(most, running);
+        std::erase_if(idle, [&](const std::string &job) { return !runs.ofJob(job).empty(); });
+    }
+    std::size_t unanswered = 0;
+    for (const std::string &job : accepted) {
+        std::string state;
+        for (std::size_t attempt = 0; attempt < 2 && state.empty(); ++attempt)
+            state = stateIn(
+                    clientCall(record, fronts[attempt], "GET", "/checks/" + job, "key-b-1"));
+        unanswered += state.empty() ? 1 : 0;
     }
-    waitFor(12'000, [&] {
-        const Reply reply
-                = clientCall(record, front, "GET", std::string("/checks/") + Job, "key-a-1");
-        sleepMs(700);
-        return stateIn(reply) == "completed";
-    });
     if (!cell.areAllRunning())
         return CouldNotRun;
-    const auto overlaps = runs.overlaps();
-    for (const auto &[one, two] : overlaps)
-        record.line("task " + one.task + ": run " + std::to_string(one.run) + " on " + one.worker
-                    + " from " + std::to_string(one.at) + " to " + std::to_string(one.endedAt)
-                    + " ms (" + one.how + "), run " + std::to_string(two.run) + " on " + two.worker
-                    + " from " + std::to_string(two.at) + " ms");
-    return overlaps.empty() ? Held : Broken;
+    record.line("from " + std::to_string(FinishMs) + " to " + std::to_string(FinishMs + IdleMs)
+                + " ms after the end of the traffic: accepted jobs of tenant-b without any run: "
+                + std::to_string(idle.size()) + " of " + std::to_string(accepted.size())
+                + "; then without an answer about their state: " + std::to_string(unanswered)
+                + "; tasks at work on all workers: " + std::to_string(most) + " at most of "
+                + std::to_string(Workers * 32) + " cores");
+    return (!idle.empty() && most * 2 < Workers * 32) || unanswered > 0 ? Broken : Held;
 }
 
 } // namespace
