Let tasks that can't start claim no capacity when advice is rationed

Cause: StartPlanner requested advice only while the cores of all tasks waiting ahead were fewer than the free cores and a quarter of the whole. It counted every waiting task, whether or not it could start on what is free. 108 tasks of 7.6 cores, of which the cap lets two run, used up that budget, so that no step behind them ever got a ticket.

Related paths: the same holds for tasks that fit no worker, need a label that none or few have, wait for accelerators, exceed the tasks allowed per worker, form a gang that the workers can't hold, or belong to a pool without workers. The bound on waiting tasks while starts are limited counted them too.

Change: AdviceLookahead lets steps claim, in rank order, the capacity of just the workers that could run them, up to the team's cap. Steps that claim nothing delay nobody. A team at its cap requests advice for a quarter of its cap ahead, instead of for all of its steps. TeamUsage takes the caps out of the planner.

--- /dev/null
+++ b/control/jobs/advice_lookahead.cpp
@@ -0,0 +1,165 @@
+#include "control/jobs/advice_lookahead.h"
+
+#include "control/jobs/start_policy.h"
+
+#include <algorithm>
+
+namespace gentiancross {
+
+namespace {
+
+/** The percentage of a capacity that counts as room while it is in use: about what becomes free
+ * while an answer is in flight. */
+constexpr std::int64_t AheadPercent = 25;
+constexpr std::int64_t Percent = 100;
+/** The capacity of part of a task is counted in thousandths. */
+constexpr std::int64_t Milli = 1000;
+
+/** Stands for a capacity without a limit; leaves room for arithmetic. */
+constexpr std::int64_t Unlimited = 1'000'000'000'000'000;
+
+/** The least of \a count(room, requested) over the components that \a task requests. */
+template <typename Count>
+std::uint64_t leastOver(const Resources &room, const Resources &task, Count count)
+{
+    std::int64_t least = Unlimited;
+    const auto consider = [&](std::int64_t left, std::int64_t requested) {
+        if (requested > 0)
+            least = std::min(least, count(std::max<std::int64_t>(left, 0), requested));
+    };
+    consider(room.cores.value(), task.cores.value());
+    consider(room.memory.value(), task.memory.value());
+    consider(room.accelerators.value(), task.accelerators.value());
+    return static_cast<std::uint64_t>(least);
+}
+
+/** The number of tasks that fit in \a room. */
+std::uint64_t wholeTasksIn(const Resources &room, const Resources &task)
+{
+    return leastOver(room, task,
+                     [](std::int64_t left, std::int64_t requested) { return left / requested; });
+}
+
+/** The part of tasks that uses up \a room, in thousandths. */
+std::uint64_t milliTasksIn(const Resources &room, const Resources &task)
+{
+    return leastOver(room, task, [](std::int64_t left, std::int64_t requested) {
+        return (left * Milli + requested - 1) / requested;
+    });
+}
+
+Resources multiply(const Resources &resources, std::int64_t factor, std::int64_t divisor = 1)
+{
+    Resources product;
+    product.cores = resources.cores * factor / divisor;
+    product.memory = resources.memory * factor / divisor;
+    product.accelerators = resources.accelerators * factor / divisor;
+    return product;
+}
+
+bool isUsedUp(const Resources &room)
+{
+    return room.cores <= MilliCores(0) || room.memory <= Mebibytes(0);
+}
+
+} // namespace
+
+AdviceLookahead::AdviceLookahead(Instant now, const TeamUsage &usage, WorkerPool &pool)
+    : m_usage(usage)
+{
+    for (const auto &[incarnation, worker] : pool.all()) {
+        if (!WorkerPool::isUsable(worker, now))
+            continue;
+        m_workers.push_back(&worker);
+        Resources room = worker.freeCapacity();
+        room += multiply(worker.report.capacity, AheadPercent, Percent);
+        if (!isUsedUp(room))
+            m_rooms.push_back({&worker, room});
+    }
+}
+
+bool AdviceLookahead::claim(const Job &job, const StepSpec &step, const Advice &advice,
+                            std::uint64_t tasks)
+{
+    if (!canHold(job, step, advice, step.isGang ? step.count : 1))
+        return false;
+    const TeamId &team = job.terms.team;
+    const std::uint64_t withinCap
+            = std::min(tasks, wholeTasksIn(capRoom(team, Percent), step.perTask));
+    const bool mayStartSoon = milliTasksIn(capRoom(team, Percent + AheadPercent), step.perTask) > 0;
+    m_waiting[team] += multiply(step.perTask, static_cast<std::int64_t>(tasks));
+    const std::uint64_t startable = step.isGang && withinCap < tasks ? 0 : withinCap;
+    if (startable == 0)
+        return mayStartSoon && !m_rooms.empty();
+    const std::uint64_t claimed = claimRooms(job, step, advice, startable * Milli);
+    m_claimedMilliTasks += claimed;
+    return claimed > 0;
+}
+
+std::uint64_t AdviceLookahead::claimedTasks() const
+{
+    return m_claimedMilliTasks / Milli;
+}
+
+Resources AdviceLookahead::capRoom(const TeamId &team, std::int64_t percent) const
+{
+    const Resources cap = m_usage.cap(team);
+    Resources used = m_usage.running(team);
+    const auto waiting = m_waiting.find(team);
+    if (waiting != m_waiting.end())
+        used += waiting->second;
+    Resources room = multiply(cap, percent, Percent);
+    room -= used;
+    if (cap.cores == MilliCores(0))
+        room.cores = MilliCores(Unlimited);
+    if (cap.memory == Mebibytes(0))
+        room.memory = Mebibytes(Unlimited);
+    if (cap.accelerators == Accelerators(0))
+        room.accelerators = Accelerators(Unlimited);
+    return room;
+}
+
+bool AdviceLookahead::canHold(const Job &job, const StepSpec &step, const Advice &advice,
+                              std::uint64_t tasks) const
+{
+    std::uint64_t held = 0;
+    for (const PooledWorker *const worker : m_workers) {
+        if (held >= tasks)
+            break;
+        if (!couldRunWhenIdle(*worker, job.terms.pool, step)
+            || advice.isUnsuitable(worker->report.incarnation.worker))
+            continue;
+        const std::uint64_t here = wholeTasksIn(worker->report.capacity, step.reserved());
+        held += step.maxPerWorker > 0 ? std::min<std::uint64_t>(here, step.maxPerWorker) : here;
+    }
+    return held >= tasks;
+}
+
+std::uint64_t AdviceLookahead::claimRooms(const Job &job, const StepSpec &step,
+                                          const Advice &advice, std::uint64_t milliTasks)
+{
+    const Resources task = step.reserved();
+    const std::uint64_t mostPerWorker = step.maxPerWorker * Milli;
+    std::uint64_t claimed = 0;
+    for (std::size_t index = 0; index < m_rooms.size() && claimed < milliTasks;) {
+        Room &room = m_rooms[index];
+        const bool isEligible = couldRunWhenIdle(*room.worker, job.terms.pool, step)
+                && !advice.isUnsuitable(room.worker->report.incarnation.worker);
+        if (isEligible) {
+            std::uint64_t here = std::min(milliTasks - claimed, milliTasksIn(room.left, task));
+            if (step.maxPerWorker > 0)
+                here = std::min(here, mostPerWorker);
+            room.left -= multiply(task, static_cast<std::int64_t>(here), Milli);
+            claimed += here;
+        }
+        if (isUsedUp(room.left)) {
+            room = m_rooms.back();
+            m_rooms.pop_back();
+        } else {
+            ++index;
+        }
+    }
+    return claimed;
+}
+
+} // namespace gentiancross
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -9,10 +9,6 @@
 /** A query names enough workers for the step to find free capacity on those approved. */
 constexpr std::size_t MinQueriedWorkers = 10;
 constexpr std::size_t MaxQueriedWorkers = 28;
-/** Advice is requested for this percentage of the total capacity beyond what is free: about what
- * becomes free while an answer is in flight. */
-constexpr std::int64_t AdviceAheadPercent = 25;
-constexpr std::int64_t Percent = 100;
 /** Advice is requested for at most this many times the admission limit: further tickets would
  * expire before their starts. */
 constexpr std::size_t AdviceAheadFactor = 4;
@@ -48,11 +44,6 @@
     return step.isGang ? idle.size() == step.count : !idle.empty();
 }
 
-bool exceeds(std::int64_t value, std::int64_t cap)
-{
-    return cap != 0 && value > cap;
-}
-
 } // namespace
 
 StartPlanner::StartPlanner(const JobStoreData &store, WorkerPool &pool, AdviceCoordinator &advice,
@@ -64,12 +55,13 @@
     , m_admission(admission)
     , m_costPolicy(std::move(costPolicy))
     , m_order(std::move(order))
+    , m_usage(store)
 {}
 
 void StartPlanner::runOpened(const JobTaskRef &task, const Job &job,
                              const WorkerIncarnation &worker)
 {
-    m_running[job.terms.team] += job.spec.steps[task.step.step].perTask;
+    m_usage.add(job.terms.team, job.spec.steps[task.step.step].perTask);
     ++m_tasksPerWorker[task.step][worker];
 }
 
@@ -77,7 +69,7 @@
                              const WorkerIncarnation &worker)
 {
     markChanged();
-    m_running[job.terms.team] -= job.spec.steps[task.step.step].perTask;
+    m_usage.remove(job.terms.team, job.spec.steps[task.step.step].perTask);
     const auto found = m_tasksPerWorker.find(task.step);
     if (found == m_tasksPerWorker.end())
         return;
@@ -136,25 +128,17 @@
     m_hasChanged = false;
     m_hasDeferredStarts = false;
     updateRanks(now);
-    MilliCores free;
-    MilliCores whole;
-    for (const auto &[incarnation, worker] : m_pool.all()) {
-        if (!WorkerPool::isUsable(worker, now))
-            continue;
-        free += worker.freeCapacity().cores;
-        whole += worker.report.capacity.cores;
-    }
-    m_waitingCores = MilliCores(0);
-    m_waitingTasks = 0;
-    m_adviceCoreBudget = free + whole * AdviceAheadPercent / Percent;
+    AdviceLookahead lookahead(now, m_usage, m_pool);
     // Iterates over a copy, because starts change the set.
     const std::vector<ReadyStep> turns(m_ready.begin(), m_ready.end());
     for (const ReadyStep &ready : turns) {
-        if (m_startsLeft == 0 && m_waitingTasks >= m_admission.limit() * AdviceAheadFactor) {
+        const bool isAheadEnough = lookahead.isExhausted()
+                || lookahead.claimedTasks() >= m_admission.limit() * AdviceAheadFactor;
+        if (m_startsLeft == 0 && isAheadEnough) {
             m_hasDeferredStarts = true;
             return;
         }
-        planStep(now, ready, handler, out);
+        planStep(now, ready, lookahead, handler, out);
     }
 }
 
@@ -171,7 +155,8 @@
         jobChanged(now, id, m_store.jobs.at(id));
 }
 
-void StartPlanner::planStep(Instant now, const ReadyStep &ready, StartHandler &handler, Outbox &out)
+void StartPlanner::planStep(Instant now, const ReadyStep &ready, AdviceLookahead &lookahead,
+                            StartHandler &handler, Outbox &out)
 {
     const auto found = m_store.jobs.find(ready.step.job);
     if (found == m_store.jobs.end() || found->second.isOver())
@@ -186,11 +171,10 @@
         jobChanged(now, ready.step.job, job);
         return;
     }
-    if (job.terms.advice.has_value() && m_waitingCores < m_adviceCoreBudget)
+    const bool mayStartSoon = lookahead.claim(job, job.spec.steps[ready.step.step],
+                                              m_advice.adviceFor(now, ready.step), idle.size());
+    if (job.terms.advice.has_value() && mayStartSoon)
         requestAdvice(now, ready.step, job, out);
-    m_waitingTasks += idle.size();
-    m_waitingCores += job.spec.steps[ready.step.step].perTask.cores
-            * static_cast<std::int64_t>(idle.size());
 }
 
 void StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
@@ -199,7 +183,7 @@
     const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
     for (const std::uint32_t index : idleTasks(ref, ready.reason, job)) {
-        if (!isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
+        if (!m_usage.isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
             return;
         const TaskProgress &task = occurrenceOf(ref, job).steps[ref.step][index];
         // Running it on another worker shows whether the task or the worker is at fault.
@@ -224,7 +208,7 @@
     Resources all;
     for (std::uint32_t index = 0; index < step.count; ++index)
         all += step.perTask;
-    if (!isWithinCap(job.terms.team, all) || !isAdmitted())
+    if (!m_usage.isWithinCap(job.terms.team, all) || !isAdmitted())
         return;
     std::vector<WorkerIncarnation> places;
     bool isPlaced = false;
@@ -348,16 +332,10 @@
     const Advice advice = m_advice.adviceFor(now, ref);
     std::vector<std::pair<std::int64_t, WorkerId>> candidates;
     for (const auto &[incarnation, worker] : m_pool.all()) {
-        if (worker.report.pool != job.terms.pool || !WorkerPool::isUsable(worker, now)
+        if (!WorkerPool::isUsable(worker, now) || !couldRunWhenIdle(worker, job.terms.pool, step)
             || advice.isUnsuitable(incarnation.worker)
             || advice.ticket(incarnation.worker) != nullptr)
             continue;
-        const std::vector<std::string> &labels = worker.report.labels;
-        if (!step.requiredLabel.empty()
-            && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
-            continue;
-        if (!step.reserved().fitsIn(worker.report.capacity))
-            continue;
         const std::int64_t far
                 = !step.dataRack.empty() && worker.report.rack.value() != step.dataRack ? 1 : 0;
         const bool slow = isSlow(worker.pace, m_pool.averagePace());
@@ -380,22 +358,4 @@
     m_advice.query(now, ref, *job.terms.advice, std::move(workers), out);
 }
 
-bool StartPlanner::isWithinCap(const TeamId &team, const Resources &more) const
-{
-    if (!m_store.document.has_value())
-        return false;
-    const auto &teams = m_store.document->teams;
-    const auto config = std::find_if(teams.begin(), teams.end(),
-                                     [&team](const TeamConfig &each) { return each.team == team; });
-    if (config == teams.end())
-        return true;
-    Resources use = more;
-    const auto running = m_running.find(team);
-    if (running != m_running.end())
-        use += running->second;
-    return !exceeds(use.cores.value(), config->cap.cores.value())
-            && !exceeds(use.memory.value(), config->cap.memory.value())
-            && !exceeds(use.accelerators.value(), config->cap.accelerators.value());
-}
-
 } // namespace gentiancross
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "control/jobs/advice_coordinator.h"
+#include "control/jobs/advice_lookahead.h"
 #include "control/jobs/job_store.h"
 #include "control/jobs/start_admission.h"
 #include "control/jobs/start_policy.h"
+#include "control/jobs/team_usage.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
 
@@ -76,7 +78,8 @@
 
     /** Updates the ranks of steps whose latest start has passed. */
     void updateRanks(Instant now);
-    void planStep(Instant now, const ReadyStep &ready, StartHandler &handler, Outbox &out);
+    void planStep(Instant now, const ReadyStep &ready, AdviceLookahead &lookahead,
+                  StartHandler &handler, Outbox &out);
     void planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
     void planGang(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
     /** False once the admission allows no more starts in this plan. */
@@ -90,7 +93,6 @@
     [[nodiscard]] std::optional<std::int64_t> costOn(Instant now, const PooledWorker &worker,
                                                      const StepRef &ref, const Job &job,
                                                      const PlacementConstraints &constraints);
-    [[nodiscard]] bool isWithinCap(const TeamId &team, const Resources &more) const;
     [[nodiscard]] std::string ticketOf(Instant now, const StepRef &ref, const Job &job,
                                        const WorkerIncarnation &incarnation) const;
 
@@ -103,22 +105,16 @@
     /** Arrival times of the occurrences of a job, on this host's clock since the wall clock may
      * jump. */
     std::map<JobId, std::map<std::uint32_t, Instant>> m_arrivals;
-    std::map<TeamId, Resources> m_running;
+    TeamUsage m_usage;
     std::set<ReadyStep> m_ready;
     std::map<JobId, std::vector<ReadyStep>> m_readyStepsByJob;
     /** Number of running tasks of a step on each worker. */
     std::map<StepRef, std::map<WorkerIncarnation, std::uint32_t>> m_tasksPerWorker;
     bool m_hasChanged = true;
-    /** Cores that steps ahead in the order wait for, and the bound of this number up to which
-     * further steps request advice. */
-    MilliCores m_waitingCores;
-    MilliCores m_adviceCoreBudget;
     /** Number of starts that may still be decided in this plan. */
     std::size_t m_startsLeft = 0;
     /** True if the last plan deferred starts because the admission limit was reached. */
     bool m_hasDeferredStarts = false;
-    /** Number of tasks of the steps considered in this plan that did not start. */
-    std::size_t m_waitingTasks = 0;
 };
 
 } // namespace gentiancross
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -41,6 +41,13 @@
     return chain * job.terms.stretchPermille / Permille + job.terms.allowance;
 }
 
+bool hasRequiredLabel(const PooledWorker &worker, const StepSpec &step)
+{
+    const std::vector<std::string> &labels = worker.report.labels;
+    return step.requiredLabel.empty()
+            || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+}
+
 } // namespace
 
 Milliseconds criticalPathLength(const JobSpec &spec, std::uint32_t step)
@@ -91,6 +98,12 @@
     return cost;
 }
 
+bool couldRunWhenIdle(const PooledWorker &worker, const PoolId &pool, const StepSpec &step)
+{
+    return step.reserved().fitsIn(worker.report.capacity) && worker.report.pool == pool
+            && hasRequiredLabel(worker, step);
+}
+
 bool canRunOn(const PooledWorker &worker, const StepSpec &step)
 {
     const bool hasTarget = step.isLongRunning && step.tailLatencyTarget > Milliseconds(0);
@@ -98,11 +111,7 @@
         return false;
     if (step.isBestEffort && worker.tailTargets > 0)
         return false;
-    if (!WorkerPool::canAcceptRun(worker, step))
-        return false;
-    const std::vector<std::string> &labels = worker.report.labels;
-    if (!step.requiredLabel.empty()
-        && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
+    if (!WorkerPool::canAcceptRun(worker, step) || !hasRequiredLabel(worker, step))
         return false;
     Resources freeCapacity = worker.freeCapacity();
     if (step.isBestEffort) {
--- a/control/jobs/start_policy.h
+++ b/control/jobs/start_policy.h
@@ -99,6 +99,10 @@
                                     const StepSpec &step) const override;
 };
 
+/** True if tasks of the step, of a job for \a pool, could run on the worker if nothing else ran
+ * there. Reentrant. */
+bool couldRunWhenIdle(const PooledWorker &worker, const PoolId &pool, const StepSpec &step);
+
 /** True if the step's next task may run on the worker, regardless of tickets and of the limit of
  * tasks per worker. Reentrant. */
 bool canRunOn(const PooledWorker &worker, const StepSpec &step);
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -24,11 +24,7 @@
 
 } // namespace
 
-LeaderBench::LeaderBench(JobStoreData store)
-    : m_leader(m_now, {HostId("self"), Fence(5), "self:1"}, std::move(store))
-{}
-
-void LeaderBench::configure(const Resources &cap, std::optional<AdviceTerms> advice)
+ConfigDocument makeDocument(const Resources &cap, std::optional<AdviceTerms> advice)
 {
     ConfigDocument document;
     document.version = DocumentVersion(1);
@@ -43,6 +39,20 @@
     document.queues = {queue};
     document.pools = {{PoolId("pool"), false}};
     document.teams = {{TeamId("alpha"), {ApiKey("key-of-alpha")}, 1, cap}};
+    return document;
+}
+
+LeaderBench::LeaderBench(JobStoreData store)
+    : m_leader(m_now, {HostId("self"), Fence(5), "self:1"}, std::move(store))
+{}
+
+void LeaderBench::configure(const Resources &cap, std::optional<AdviceTerms> advice)
+{
+    configure(makeDocument(cap, advice));
+}
+
+void LeaderBench::configure(const ConfigDocument &document)
+{
     call(PutConfiguration{document, {}});
 }
 
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -10,14 +10,19 @@
 
 namespace gentiancross::tests {
 
+/** A configuration with one queue, "checks" at host "h" under "/q/", for team "alpha" with \a cap.
+ */
+ConfigDocument makeDocument(const Resources &cap = {}, std::optional<AdviceTerms> advice = {});
+
 /** Owns a leader whose records are durable at once; the test supplies its workers' answers. */
 class LeaderBench
 {
 public:
     explicit LeaderBench(JobStoreData store = {});
 
-    /** Applies a configuration with one queue, "checks" at host "h" under "/q/". */
+    /** Applies `makeDocument` of the same arguments. */
     void configure(const Resources &cap = {}, std::optional<AdviceTerms> advice = {});
+    void configure(const ConfigDocument &document);
     CallAnswer call(const CellCall &call);
     /** Delivers heartbeats that another host has acknowledged. */
     void receive(const HeartbeatsReport &seen);
--- /dev/null
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -0,0 +1,193 @@
+#include "tests/control/jobs/leader_bench.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+constexpr AdviceTerms Advice{26'000, 380, Milliseconds(2000)};
+constexpr int Workers = 6;
+const std::string backlogJob = "00000000000000a1";
+const std::string smallJob = "00000000000000b1";
+
+/** Approves all workers of each query so far, and returns the jobs that were asked about. */
+std::set<JobId> approveAll(LeaderBench &bench)
+{
+    std::set<JobId> jobs;
+    for (const AdviceRequest &request : bench.takeAdviceRequests()) {
+        jobs.insert(request.step.job);
+        AdviceResponse response{request.id, true, {}, Advice.validity};
+        for (const WorkerId &worker : request.workers)
+            response.good.push_back({worker, "ticket"});
+        bench.receiveAdvice(response);
+    }
+    return jobs;
+}
+
+bool hasStartOf(const std::string &job, const std::vector<CallWorker> &starts)
+{
+    return std::any_of(starts.begin(), starts.end(), [&](const CallWorker &start) {
+        return std::get<OrderStart>(start.order).task.step.job == JobId(job);
+    });
+}
+
+/**
+ * A cell whose queues require advice: an urgent one, "checks", and one of lower priority, "later".
+ * Team "alpha" may have \a cap running, team "beta" has no cap. The workers have 1,000 thousandths
+ * of a core each; one of them has an accelerator and the label "fast".
+ */
+class AdvisedCell
+{
+public:
+    explicit AdvisedCell(const Resources &cap = {})
+    {
+        ConfigDocument document = makeDocument(cap, Advice);
+        QueueConfig later = document.queues[0];
+        later.queue = QueueId("later");
+        later.pathPrefix = "/later/";
+        later.priority = 1;
+        document.queues.push_back(later);
+        QueueConfig elsewhere = document.queues[0];
+        elsewhere.queue = QueueId("elsewhere");
+        elsewhere.pathPrefix = "/elsewhere/";
+        elsewhere.pool = PoolId("empty");
+        document.queues.push_back(elsewhere);
+        document.pools.push_back({PoolId("empty"), false});
+        document.teams.push_back({TeamId("beta"), {ApiKey("key-of-beta")}, 1, {}});
+        m_bench.configure(document);
+        m_bench.advance(8000);
+        sendHeartbeats();
+    }
+
+    void submit(const std::string &path, const StepSpec &step, const std::string &key)
+    {
+        JobSpec spec;
+        spec.steps = {step};
+        m_bench.call(JobCall{JobVerb::Submit, "h", path, ApiKey(key), spec, {}});
+    }
+    /** Submits the job of a team without a cap that is to start on free capacity. */
+    void submitSmallJob() { submit("/later/" + smallJob, makeStep(1, 400), "key-of-beta"); }
+
+    /** Runs for two seconds with an adviser that approves all; true if the small job starts. */
+    bool startsSmallJob()
+    {
+        bool hasStarted = false;
+        for (int step = 0; step < 20; ++step) {
+            m_bench.advance(100);
+            sendHeartbeats();
+            approveAll(m_bench);
+            const std::vector<CallWorker> starts = m_bench.takeStarts();
+            hasStarted = hasStarted || hasStartOf(smallJob, starts);
+            for (const CallWorker &start : starts)
+                m_bench.answer(start, WorkerVerdict::Done);
+        }
+        return hasStarted;
+    }
+
+    LeaderBench &bench() { return m_bench; }
+
+private:
+    void sendHeartbeats()
+    {
+        for (int number = 0; number < Workers; ++number) {
+            WorkerHeartbeat heartbeat = m_bench.makeHeartbeat("w" + std::to_string(number));
+            if (number == 0) {
+                heartbeat.report.capacity.accelerators = Accelerators(1);
+                heartbeat.report.labels = {"fast"};
+            }
+            m_bench.call(heartbeat);
+        }
+    }
+
+    LeaderBench m_bench;
+};
+
+Resources cores(std::int64_t value)
+{
+    Resources resources;
+    resources.cores = MilliCores(value);
+    return resources;
+}
+
+} // namespace
+
+// Guards against accepted jobs that don't start on free capacity, because tasks that can't use it
+// wait ahead of them and take up the number of steps for which advice is requested.
+TEST_CASE("Waiting tasks that can't use the free capacity delay no other job")
+{
+    AdvisedCell cell(cores(600));
+    SECTION("Their team is at its cap")
+    {
+        cell.submit("/q/" + backlogJob, makeStep(100, 300), "key-of-alpha");
+    }
+    SECTION("They fit on no worker")
+    {
+        cell.submit("/q/" + backlogJob, makeStep(100, 1200), "key-of-beta");
+    }
+    SECTION("No worker has their label")
+    {
+        StepSpec step = makeStep(100, 300);
+        step.requiredLabel = "slow";
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
+    SECTION("Few workers have their label")
+    {
+        StepSpec step = makeStep(100, 300);
+        step.requiredLabel = "fast";
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
+    SECTION("They wait for accelerators")
+    {
+        StepSpec step = makeStep(100, 100);
+        step.perTask.accelerators = Accelerators(1);
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
+    SECTION("They are confined to one per worker")
+    {
+        StepSpec step = makeStep(100, 100);
+        step.maxPerWorker = 1;
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
+    SECTION("They are a gang that the workers can't hold at once")
+    {
+        StepSpec step = makeStep(7, 1000);
+        step.isGang = true;
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
+    SECTION("Their pool has no workers")
+    {
+        cell.submit("/elsewhere/" + backlogJob, makeStep(100, 300), "key-of-beta");
+    }
+    cell.submitSmallJob();
+    CHECK(cell.startsSmallJob());
+}
+
+// Guards against an adviser that is busy with steps whose tickets expire before they can start.
+TEST_CASE("Advice is requested only for as many steps as may start soon")
+{
+    constexpr std::uint64_t Jobs = 40;
+    constexpr std::uint64_t FirstJob = 0xa000000000000000;
+    const auto submitJobs = [&](AdvisedCell &cell, const std::string &key) {
+        for (std::uint64_t number = 0; number < Jobs; ++number)
+            cell.submit("/q/" + absl::StrCat(absl::Hex(FirstJob + number)), makeStep(3, 200), key);
+    };
+    SECTION("The workers are in use")
+    {
+        AdvisedCell cell;
+        submitJobs(cell, "key-of-beta");
+        // 6,000 thousandths of a core are free, and a quarter more is expected to become free.
+        CHECK(approveAll(cell.bench()).size() == 13);
+    }
+    SECTION("The team is at its cap")
+    {
+        AdvisedCell cell(cores(1200));
+        submitJobs(cell, "key-of-alpha");
+        CHECK(approveAll(cell.bench()).size() == 3);
+    }
+}
