Plan starts at once when a worker becomes usable again

Callers saw a start wait for the next tick, up to 50 ms, although the list that freed its worker had arrived.

Cause: an answer that ends a worker's exclusion (an untracked run, silence, another incarnation) asked for no new plan. Jobs whose latest start passed meanwhile asked for one as a side effect, which hid this for jobs with a deadline; the test of untracked runs passed for that reason only.

Change: RunTracker compares the worker's usability before and after an answer and tells the leader, which plans.

Evidence: "A start follows at once..." failed before (0 starts) and passes now.

--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -108,6 +108,7 @@
     void apply(JobRecord record) override;
     void answer(const CallOrigin &origin, CallAnswer answer) override;
     void acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number) override;
+    void onWorkerUsable() override { m_planner.markChanged(); }
 
     void handle(Instant now, Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 Outbox &out);
--- a/control/jobs/run_result_handler.h
+++ b/control/jobs/run_result_handler.h
@@ -18,6 +18,8 @@
     /** Acknowledges the ends up to \a number, all of which were applied: the worker may forget them
      * once they are durable. */
     virtual void acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number) = 0;
+    /** A worker that could be given no runs can be given some again. */
+    virtual void onWorkerUsable() = 0;
 };
 
 } // namespace gentiancross
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -153,7 +153,12 @@
         apply(now, *worker, call, unidentified, out);
         return;
     }
+    const bool wasUsable = WorkerPool::isUsable(*worker, now);
     apply(now, *worker, call, answer, out);
+    // The incarnation may have been replaced.
+    const PooledWorker *const after = m_pool.find(call.incarnation);
+    if (!wasUsable && after != nullptr && WorkerPool::isUsable(*after, now))
+        m_results.onWorkerUsable();
 }
 
 void RunTracker::apply(Instant now, PooledWorker &worker, const Call &call,
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -220,6 +220,22 @@
     CHECK(bench.takeStarts().size() == 1);
 }
 
+// Guards against starts that wait for the next tick although the list that freed the worker is
+// known.
+TEST_CASE("A start follows at once when a list shows that a worker is free of an untracked run")
+{
+    LeaderBench bench;
+    startJob(bench);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1), listed(otherJob, 1)}, {});
+    bench.sendHeartbeat("v");
+    StepSpec step = makeStep(1, 100);
+    step.isLongRunning = true;
+    bench.submit(thirdJob, {step});
+    CHECK(bench.takeStarts().empty());
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)}, {});
+    CHECK(bench.takeStarts().size() == 1);
+}
+
 // Guards against ends that are taken for those of the former incarnation, whose numbers they
 // repeat: they were dropped, and their tasks started again.
 TEST_CASE("A list that states an earlier birth time counts as no answer")
