Rank a job's steps one by one, with critical paths computed once

Cause: the order of steps computed the critical path of every step of the job for each step that it ranked, and each change of one step ranked all steps of the job again, also after each step that a plan had started. One pass over N independent steps took some N^4/2 operations on the control thread, during which the leader confirmed itself with nobody; its successors inherited the job.

Change: ReadyQueue keeps the critical paths and dependents of a job's steps, computed once in proportion to steps and dependencies. A run's end updates its own step and, once that is done, the steps that wait for it; a latest start that passes updates the one step. JobStoreObserver tells changes of a step from changes of the whole job. The queue's code leaves the planner.

--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -102,6 +102,10 @@
     void onRunOpened(const JobTaskRef &task, const Job &job, const TaskProgress &progress) override;
     void onRunClosed(const JobTaskRef &task, const Job &job, const TaskProgress &progress) override;
     void onJobChanged(const JobId &id, const Job &job) override;
+    void onStepChanged(const StepRef &step, const Job &job) override
+    {
+        m_planner.stepChanged(m_now, step, job);
+    }
     void onStartDecided(const JobTaskRef &task, RunNumber run, const WorkerIncarnation &worker,
                         const std::string &ticket) override;
 
--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -95,7 +95,7 @@
             keepCheckpoint(record, *job, step);
         if (record.ending == RunEnding::Failed)
             countFailure(record, *job, step);
-        changed(record.task.step.job, *job);
+        runEnded(record.task.step, *job);
     }
 
     void operator()(const WorkerReported &record)
@@ -197,7 +197,7 @@
         }
         if (!wasDone)
             finishOccurrence(ref.step, job);
-        changed(ref.step.job, job);
+        runEnded(ref.step, job);
     }
 
     void finishOccurrence(const StepRef &ref, Job &job)
@@ -244,6 +244,14 @@
             m_observer->onJobChanged(id, job);
     }
 
+    void runEnded(const StepRef &step, const Job &job)
+    {
+        if (job.isOver())
+            changed(step.job, job);
+        else if (m_observer != nullptr)
+            m_observer->onStepChanged(step, job);
+    }
+
     JobStoreData &m_data;
     JobStoreObserver *m_observer;
 };
--- a/control/jobs/job_store.h
+++ b/control/jobs/job_store.h
@@ -21,8 +21,10 @@
     /** The last run of \a task has ended; \a progress is the state before the end. */
     virtual void onRunClosed(const JobTaskRef &task, const Job &job, const TaskProgress &progress)
             = 0;
-    /** The job is new, has begun an occurrence, has a run that ended, or is over. */
+    /** The job is new, has begun an occurrence, or is over. */
     virtual void onJobChanged(const JobId &id, const Job &job) = 0;
+    /** A run of the step has ended, and the job is not over. */
+    virtual void onStepChanged(const StepRef &step, const Job &job) = 0;
 };
 
 /** Upper bound on the tasks of a job; it limits the work that one job causes on the keepers. */
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -17,33 +17,6 @@
 /** A task prefers a slow worker to the one on which it has failed. */
 constexpr std::int64_t FailedWorkerCost = 20'000'000;
 
-const Occurrence &occurrenceOf(const StepRef &ref, const Job &job)
-{
-    return job.occurrences.at(ref.occurrence);
-}
-
-/** The tasks that wait for \a reason. */
-std::vector<std::uint32_t> idleTasks(const StepRef &ref, WaitReason reason, const Job &job)
-{
-    std::vector<std::uint32_t> idle;
-    const StepSpec &step = job.spec.steps[ref.step];
-    const std::vector<TaskProgress> &tasks = occurrenceOf(ref, job).steps[ref.step];
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (!tasks[index].mayStillRun && !tasks[index].isDone
-            && waitReasonOf(step, tasks[index]) == reason)
-            idle.push_back(index);
-    }
-    return idle;
-}
-
-/** True if tasks wait for \a reason; for a gang, only once no member is running or done. */
-bool hasIdleTasks(const StepRef &ref, WaitReason reason, const Job &job)
-{
-    const std::vector<std::uint32_t> idle = idleTasks(ref, reason, job);
-    const StepSpec &step = job.spec.steps[ref.step];
-    return step.isGang ? idle.size() == step.count : !idle.empty();
-}
-
 } // namespace
 
 StartPlanner::StartPlanner(const JobStoreData &store, WorkerPool &pool, AdviceCoordinator &advice,
@@ -54,8 +27,8 @@
     , m_advice(advice)
     , m_admission(admission)
     , m_costPolicy(std::move(costPolicy))
-    , m_order(std::move(order))
     , m_usage(store)
+    , m_queue(std::move(order))
 {}
 
 void StartPlanner::runOpened(const JobTaskRef &task, const Job &job,
@@ -81,41 +54,21 @@
 
 void StartPlanner::jobInherited(const JobId &id, const Job &job, Instant arrivedAt)
 {
-    for (const auto &[number, occurrence] : job.occurrences)
-        m_arrivals[id].emplace(number, arrivedAt);
+    m_queue.addInherited(id, job, arrivedAt);
 }
 
 void StartPlanner::jobChanged(Instant now, const JobId &id, const Job &job)
 {
     markChanged();
-    const auto listed = m_readyStepsByJob.find(id);
-    if (listed != m_readyStepsByJob.end()) {
-        for (const ReadyStep &ready : listed->second)
-            m_ready.erase(ready);
-        m_readyStepsByJob.erase(listed);
-    }
-    if (job.isOver()) {
+    m_queue.updateJob(now, id, job);
+    if (job.isOver())
         m_advice.forgetJob(id);
-        m_arrivals.erase(id);
-        return;
-    }
-    std::vector<ReadyStep> steps;
-    for (const auto &[number, occurrence] : job.occurrences) {
-        const Instant arrivedAt = m_arrivals[id].try_emplace(number, now).first->second;
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const StepRef ref{id, number, step};
-            if (!jobstore::isStepReady(job, occurrence, step))
-                continue;
-            for (const WaitReason reason : {WaitReason::Restart, WaitReason::Start}) {
-                if (hasIdleTasks(ref, reason, job))
-                    steps.push_back(m_order->rank(now, ref, reason, job, arrivedAt));
-            }
-        }
-    }
-    if (steps.empty())
-        return;
-    m_ready.insert(steps.begin(), steps.end());
-    m_readyStepsByJob.emplace(id, std::move(steps));
+}
+
+void StartPlanner::stepChanged(Instant now, const StepRef &step, const Job &job)
+{
+    markChanged();
+    m_queue.updateStep(now, step, job);
 }
 
 void StartPlanner::plan(Instant now, StartHandler &handler, Outbox &out)
@@ -127,10 +80,10 @@
         return;
     m_hasChanged = false;
     m_hasDeferredStarts = false;
-    updateRanks(now);
+    m_queue.updateRanks(now, m_store);
     AdviceLookahead lookahead(now, m_usage, m_pool);
     // Iterates over a copy, because starts change the set.
-    const std::vector<ReadyStep> turns(m_ready.begin(), m_ready.end());
+    const std::vector<ReadyStep> turns(m_queue.steps().begin(), m_queue.steps().end());
     for (const ReadyStep &ready : turns) {
         const bool isAheadEnough = lookahead.isExhausted()
                 || lookahead.claimedTasks() >= m_admission.limit() * AdviceAheadFactor;
@@ -142,19 +95,6 @@
     }
 }
 
-void StartPlanner::updateRanks(Instant now)
-{
-    std::set<JobId> passed;
-    for (const ReadyStep &ready : m_ready) {
-        const bool hasDeadline
-                = !m_store.jobs.at(ready.step.job).spec.steps[ready.step.step].isLongRunning;
-        if (hasDeadline && ready.lateness != Lateness::Expired && now > ready.latestStart)
-            passed.insert(ready.step.job);
-    }
-    for (const JobId &id : passed)
-        jobChanged(now, id, m_store.jobs.at(id));
-}
-
 void StartPlanner::planStep(Instant now, const ReadyStep &ready, AdviceLookahead &lookahead,
                             StartHandler &handler, Outbox &out)
 {
@@ -168,7 +108,7 @@
         planTasks(now, ready, job, handler);
     const std::vector<std::uint32_t> idle = idleTasks(ready.step, ready.reason, job);
     if (idle.empty()) {
-        jobChanged(now, ready.step.job, job);
+        m_queue.updateStep(now, ready.step, job);
         return;
     }
     const bool mayStartSoon = lookahead.claim(job, job.spec.steps[ready.step.step],
@@ -185,7 +125,7 @@
     for (const std::uint32_t index : idleTasks(ref, ready.reason, job)) {
         if (!m_usage.isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
             return;
-        const TaskProgress &task = occurrenceOf(ref, job).steps[ref.step][index];
+        const TaskProgress &task = job.occurrences.at(ref.occurrence).steps[ref.step][index];
         // Running it on another worker shows whether the task or the worker is at fault.
         const WorkerIncarnation *const failedOn = task.failures > 0 ? &task.worker : nullptr;
         const PooledWorker *const worker = choose(now, ref, job, {nullptr, failedOn, {}});
@@ -226,7 +166,7 @@
     m_startsLeft -= std::min<std::size_t>(m_startsLeft, step.count);
     // All members of a gang share one run number, higher than any earlier number of a member.
     RunNumber last;
-    for (const TaskProgress &task : occurrenceOf(ref, job).steps[ref.step])
+    for (const TaskProgress &task : job.occurrences.at(ref.occurrence).steps[ref.step])
         last = std::max(last, task.lastRun);
     for (std::uint32_t index = 0; index < step.count; ++index)
         handler.onStartDecided({ref, index}, last.next(), places[index],
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -3,6 +3,7 @@
 #include "control/jobs/advice_coordinator.h"
 #include "control/jobs/advice_lookahead.h"
 #include "control/jobs/job_store.h"
+#include "control/jobs/ready_queue.h"
 #include "control/jobs/start_admission.h"
 #include "control/jobs/start_policy.h"
 #include "control/jobs/team_usage.h"
@@ -36,8 +37,8 @@
 
 /**
  * Decides which tasks start on which workers, in the order of the steps' ranks and within the
- * teams' caps and the admission limit, and which steps the adviser is queried for. Owns the queue
- * of ready steps; called by `CellLeader`. Thread safety: owned by the control thread.
+ * teams' caps and the admission limit, and which steps the adviser is queried for. Called by
+ * `CellLeader`. Thread safety: owned by the control thread.
  */
 class StartPlanner
 {
@@ -50,9 +51,12 @@
     /** A run counts against its team's cap from its order to its end. */
     void runOpened(const JobTaskRef &task, const Job &job, const WorkerIncarnation &worker);
     void runClosed(const JobTaskRef &task, const Job &job, const WorkerIncarnation &worker);
-    /** Updates the job's entries in the queue. \a now is the arrival time of a new job or
-     * occurrence. */
+    /** Updates the queue after a change of the whole job: it is new, has begun an occurrence or is
+     * over. \a now is the arrival time of a new job or occurrence. */
     void jobChanged(Instant now, const JobId &id, const Job &job);
+    /** Updates the queue after the end of a run of \a step. Precondition: the job is not over, and
+     * `jobChanged` has been called for it. */
+    void stepChanged(Instant now, const StepRef &step, const Job &job);
     /** Records that an earlier leader accepted the job at \a arrivedAt. Precondition: `jobChanged`
      * has not been called for the job yet. */
     void jobInherited(const JobId &id, const Job &job, Instant arrivedAt);
@@ -76,8 +80,6 @@
         std::map<WorkerIncarnation, std::uint32_t> planned;
     };
 
-    /** Updates the ranks of steps whose latest start has passed. */
-    void updateRanks(Instant now);
     void planStep(Instant now, const ReadyStep &ready, AdviceLookahead &lookahead,
                   StartHandler &handler, Outbox &out);
     void planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
@@ -101,13 +103,8 @@
     AdviceCoordinator &m_advice;
     StartAdmission &m_admission;
     std::unique_ptr<WorkerCostPolicy> m_costPolicy;
-    std::unique_ptr<StepOrder> m_order;
-    /** Arrival times of the occurrences of a job, on this host's clock since the wall clock may
-     * jump. */
-    std::map<JobId, std::map<std::uint32_t, Instant>> m_arrivals;
     TeamUsage m_usage;
-    std::set<ReadyStep> m_ready;
-    std::map<JobId, std::vector<ReadyStep>> m_readyStepsByJob;
+    ReadyQueue m_queue;
     /** Number of running tasks of a step on each worker. */
     std::map<StepRef, std::map<WorkerIncarnation, std::uint32_t>> m_tasksPerWorker;
     bool m_hasChanged = true;
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -31,16 +31,19 @@
     return Milliseconds(micros / MicrosecondsPerMillisecond);
 }
 
-/** Time after its arrival within which a job is to be completed. */
-Milliseconds objectiveOf(const Job &job)
+/** Time after its arrival within which a job whose critical path is \a whole is to be completed.
+ */
+Milliseconds objectiveOf(const Job &job, Milliseconds whole)
 {
-    Milliseconds chain(0);
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
-        chain = std::max(chain, criticalPathLength(job.spec, step));
-    chain = std::min(chain + adviceTime(job.terms), MaxCriticalPath);
+    const Milliseconds chain = std::min(whole + adviceTime(job.terms), MaxCriticalPath);
     return chain * job.terms.stretchPermille / Permille + job.terms.allowance;
 }
 
+bool isIdle(const StepSpec &step, const TaskProgress &task, WaitReason reason)
+{
+    return !task.mayStillRun && !task.isDone && waitReasonOf(step, task) == reason;
+}
+
 bool hasRequiredLabel(const PooledWorker &worker, const StepSpec &step)
 {
     const std::vector<std::string> &labels = worker.report.labels;
@@ -50,17 +53,17 @@
 
 } // namespace
 
-Milliseconds criticalPathLength(const JobSpec &spec, std::uint32_t step)
+std::vector<Milliseconds> criticalPathLengths(const JobSpec &spec)
 {
     // Steps depend on earlier ones only, so backward iteration visits each step after its
     // dependents.
     std::vector<Milliseconds> rest(spec.steps.size());
-    for (std::size_t number = spec.steps.size(); number-- > step;) {
+    for (std::size_t number = spec.steps.size(); number-- > 0;) {
         rest[number] += spec.steps[number].estimate;
         for (const std::uint32_t earlier : spec.steps[number].after)
             rest[earlier] = std::max(rest[earlier], rest[number]);
     }
-    return rest[step];
+    return rest;
 }
 
 WaitReason waitReasonOf(const StepSpec &step, const TaskProgress &task)
@@ -69,19 +72,39 @@
                                                             : WaitReason::Start;
 }
 
+std::vector<std::uint32_t> idleTasks(const StepRef &step, WaitReason reason, const Job &job)
+{
+    std::vector<std::uint32_t> idle;
+    const StepSpec &spec = job.spec.steps[step.step];
+    const std::vector<TaskProgress> &tasks = job.occurrences.at(step.occurrence).steps[step.step];
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (isIdle(spec, tasks[index], reason))
+            idle.push_back(index);
+    }
+    return idle;
+}
+
+bool hasIdleTasks(const StepRef &step, WaitReason reason, const Job &job)
+{
+    const StepSpec &spec = job.spec.steps[step.step];
+    const std::vector<TaskProgress> &tasks = job.occurrences.at(step.occurrence).steps[step.step];
+    const auto isWaiting = [&](const TaskProgress &task) { return isIdle(spec, task, reason); };
+    return spec.isGang ? std::all_of(tasks.begin(), tasks.end(), isWaiting)
+                       : std::any_of(tasks.begin(), tasks.end(), isWaiting);
+}
+
 ReadyStep DeadlineStepOrder::rank(Instant now, const StepRef &step, WaitReason reason,
-                                  const Job &job, Instant arrivedAt) const
+                                  const Job &job, const StepTiming &timing) const
 {
-    ReadyStep ready{reason, job.terms.priority, Lateness::OnTime, arrivedAt, step};
+    ReadyStep ready{reason, job.terms.priority, Lateness::OnTime, timing.arrivedAt, step};
     if (job.spec.steps[step.step].isLongRunning)
         return ready; // It has no deadline.
-    const Milliseconds objective = objectiveOf(job);
-    const Milliseconds chain = criticalPathLength(job.spec, step.step);
-    ready.latestStart = arrivedAt + objective - chain;
+    const Milliseconds objective = objectiveOf(job, timing.whole);
+    ready.latestStart = timing.arrivedAt + objective - timing.remaining;
     if (now <= ready.latestStart)
         return ready;
     ready.lateness = Lateness::Late;
-    ready.latestStart = arrivedAt + objective * LateFactor - chain;
+    ready.latestStart = timing.arrivedAt + objective * LateFactor - timing.remaining;
     if (now > ready.latestStart)
         ready.lateness = Lateness::Expired;
     return ready;
--- a/control/jobs/start_policy.h
+++ b/control/jobs/start_policy.h
@@ -26,6 +26,25 @@
 /** Returns the reason why \a task of \a step waits, if it does not run. Reentrant. */
 [[nodiscard]] WaitReason waitReasonOf(const StepSpec &step, const TaskProgress &task);
 
+/** The tasks of \a step that neither run nor are done and wait for \a reason. Reentrant. */
+[[nodiscard]] std::vector<std::uint32_t> idleTasks(const StepRef &step, WaitReason reason,
+                                                   const Job &job);
+
+/** True if tasks wait for \a reason; for a gang, only once no member is running or done.
+ * Reentrant. */
+[[nodiscard]] bool hasIdleTasks(const StepRef &step, WaitReason reason, const Job &job);
+
+/** When a step was and is to be run, by the submitter's estimates. */
+struct StepTiming
+{
+    /** When its job, or the occurrence of its job, arrived. */
+    Instant arrivedAt;
+    /** The critical path from the start of the step to the end of its job. */
+    Milliseconds remaining;
+    /** The critical path of the whole job. */
+    Milliseconds whole;
+};
+
 /** The tasks of a step that could start and wait for the same reason. The fields are the sort key
  * of the queue. */
 struct ReadyStep
@@ -41,7 +60,7 @@
     bool operator==(const ReadyStep &) const = default;
 };
 
-/** Ranks the steps that wait for free capacity; called by `StartPlanner`. */
+/** Ranks the steps that wait for free capacity; called by `ReadyQueue`. */
 class StepOrder
 {
 public:
@@ -51,9 +70,9 @@
     virtual ~StepOrder() = default;
 
     /** Returns the queue entry, as of \a now, for the tasks of \a step of \a job that wait for
-     * \a reason. The job arrived at \a arrivedAt. Lower values are served first. Reentrant. */
+     * \a reason. Lower values are served first. Reentrant. */
     [[nodiscard]] virtual ReadyStep rank(Instant now, const StepRef &step, WaitReason reason,
-                                         const Job &job, Instant arrivedAt) const = 0;
+                                         const Job &job, const StepTiming &timing) const = 0;
 };
 
 /**
@@ -66,12 +85,13 @@
 {
 public:
     [[nodiscard]] ReadyStep rank(Instant now, const StepRef &step, WaitReason reason,
-                                 const Job &job, Instant arrivedAt) const override;
+                                 const Job &job, const StepTiming &timing) const override;
 };
 
-/** Length of the critical path from the start of \a step to the end of its job, by the submitter's
- * estimates. Reentrant. */
-[[nodiscard]] Milliseconds criticalPathLength(const JobSpec &spec, std::uint32_t step);
+/** Lengths of the critical paths from the start of each step to the end of the job, by the
+ * submitter's estimates. Takes time in proportion to the steps and their dependencies. Reentrant.
+ */
+[[nodiscard]] std::vector<Milliseconds> criticalPathLengths(const JobSpec &spec);
 
 /** Rates the workers on which a task may run; `StartPlanner` chooses the cheapest one. */
 class WorkerCostPolicy
--- a/tests/control/jobs/job_store_test.cpp
+++ b/tests/control/jobs/job_store_test.cpp
@@ -14,6 +14,7 @@
     void onRunOpened(const JobTaskRef &, const Job &, const TaskProgress &) override { ++count; }
     void onRunClosed(const JobTaskRef &, const Job &, const TaskProgress &) override { --count; }
     void onJobChanged(const JobId &, const Job &) override {}
+    void onStepChanged(const StepRef &, const Job &) override {}
 
     int count = 0;
 };
--- a/tests/control/jobs/start_policy_test.cpp
+++ b/tests/control/jobs/start_policy_test.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <random>
@@ -32,14 +33,21 @@
     return {JobId(id), 0, step};
 }
 
+/** The timing of a step of a job that arrived at \a arrivedAt. */
+StepTiming timingOf(const Job &job, Instant arrivedAt, std::uint32_t step = 0)
+{
+    const std::vector<Milliseconds> lengths = criticalPathLengths(job.spec);
+    return {arrivedAt, lengths[step], *std::max_element(lengths.begin(), lengths.end())};
+}
+
 /** First come, first served; the baseline for comparison. */
 class ArrivalStepOrder final : public StepOrder
 {
 public:
     [[nodiscard]] ReadyStep rank(Instant, const StepRef &step, WaitReason reason, const Job &job,
-                                 Instant arrivedAt) const override
+                                 const StepTiming &timing) const override
     {
-        return {reason, job.terms.priority, Lateness::OnTime, arrivedAt, step};
+        return {reason, job.terms.priority, Lateness::OnTime, timing.arrivedAt, step};
     }
 };
 
@@ -90,7 +98,7 @@
             std::optional<ReadyStep> first;
             for (const auto &[id, each] : waiting) {
                 const ReadyStep ready = order.rank(now, stepOf(id.value()), WaitReason::Start,
-                                                   each.job, each.arrivedAt);
+                                                   each.job, timingOf(each.job, each.arrivedAt));
                 if (!first.has_value() || ready < *first)
                     first = ready;
             }
@@ -115,9 +123,8 @@
     std::vector<StepSpec> steps = {makeStep(1, 100), makeStep(1, 100), makeStep(1, 100, {0, 1})};
     steps[1].estimate = Milliseconds(3000);
     const Job job = makeRanked(std::move(steps));
-    CHECK(criticalPathLength(job.spec, 0) == Milliseconds(2000));
-    CHECK(criticalPathLength(job.spec, 1) == Milliseconds(4000));
-    CHECK(criticalPathLength(job.spec, 2) == Milliseconds(1000));
+    CHECK(criticalPathLengths(job.spec)
+          == std::vector<Milliseconds>{Milliseconds(2000), Milliseconds(4000), Milliseconds(1000)});
 }
 
 TEST_CASE("The latest start of a step leaves enough time for the rest of its job")
@@ -127,9 +134,9 @@
     const StepRef first = stepOf("00000000000000aa", 0);
     const StepRef second = stepOf("00000000000000aa", 1);
     // The objective is two seconds of work, half as much again and a quarter of a second.
-    CHECK(order.rank(Start, first, WaitReason::Start, job, Start).latestStart
+    CHECK(order.rank(Start, first, WaitReason::Start, job, timingOf(job, Start, 0)).latestStart
           == Start + Milliseconds(1250));
-    CHECK(order.rank(Start, second, WaitReason::Start, job, Start).latestStart
+    CHECK(order.rank(Start, second, WaitReason::Start, job, timingOf(job, Start, 1)).latestStart
           == Start + Milliseconds(2250));
 }
 
@@ -139,7 +146,7 @@
     const Job job = makeRanked({makeStep(1, 100)});
     const auto rankedAfter = [&](std::int64_t milliseconds, const char *id) {
         return order.rank(Start + Milliseconds(milliseconds), stepOf(id), WaitReason::Start, job,
-                          Start);
+                          timingOf(job, Start));
     };
     // One second of work: on time within 1,750 ms, of use within three times that.
     CHECK(rankedAfter(750, "a").lateness == Lateness::OnTime);
@@ -147,8 +154,8 @@
     CHECK(rankedAfter(4250, "a").lateness == Lateness::Late);
     CHECK(rankedAfter(4251, "a").lateness == Lateness::Expired);
     const Instant now = Start + Milliseconds(800);
-    CHECK(order.rank(now, stepOf("b"), WaitReason::Start, job, now)
-          < order.rank(now, stepOf("a"), WaitReason::Start, job, Start));
+    CHECK(order.rank(now, stepOf("b"), WaitReason::Start, job, timingOf(job, now))
+          < order.rank(now, stepOf("a"), WaitReason::Start, job, timingOf(job, Start)));
     CHECK(rankedAfter(4250, "b") < rankedAfter(4251, "a"));
 }
 
@@ -158,8 +165,8 @@
     const Instant now = Start + Milliseconds(60'000);
     const Job urgent = makeRanked({makeStep(1, 100)}, 0);
     const Job other = makeRanked({makeStep(1, 100)}, 2);
-    CHECK(order.rank(now, stepOf("b"), WaitReason::Start, urgent, Start)
-          < order.rank(now, stepOf("a"), WaitReason::Start, other, now));
+    CHECK(order.rank(now, stepOf("b"), WaitReason::Start, urgent, timingOf(urgent, Start))
+          < order.rank(now, stepOf("a"), WaitReason::Start, other, timingOf(other, now)));
 }
 
 TEST_CASE("Long-running tasks never expire")
@@ -168,7 +175,8 @@
     StepSpec step = makeStep(3, 100);
     step.isLongRunning = true;
     const Job job = makeRanked({step});
-    CHECK(order.rank(Start + Milliseconds(600'000), stepOf("a"), WaitReason::Start, job, Start)
+    CHECK(order.rank(Start + Milliseconds(600'000), stepOf("a"), WaitReason::Start, job,
+                     timingOf(job, Start))
                   .lateness
           == Lateness::OnTime);
 }
@@ -181,9 +189,12 @@
     step.isLongRunning = true;
     const Job lasting = makeRanked({step}, 2);
     const Job urgent = makeRanked({makeStep(1, 100)}, 0);
-    const ReadyStep first = order.rank(Start, stepOf("a"), WaitReason::Start, urgent, Start);
-    CHECK(order.rank(Start, stepOf("b"), WaitReason::Restart, lasting, Start) < first);
-    CHECK(first < order.rank(Start, stepOf("b"), WaitReason::Start, lasting, Start));
+    const ReadyStep first
+            = order.rank(Start, stepOf("a"), WaitReason::Start, urgent, timingOf(urgent, Start));
+    CHECK(order.rank(Start, stepOf("b"), WaitReason::Restart, lasting, timingOf(lasting, Start))
+          < first);
+    CHECK(first
+          < order.rank(Start, stepOf("b"), WaitReason::Start, lasting, timingOf(lasting, Start)));
 }
 
 TEST_CASE("Only a long-running task that ran before waits for a restart")
