--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -104,6 +104,7 @@
         /** True once the library was allowed to send the request; it may send it again on another
          * connection. */
         bool mayHaveBeenSent = false;
+        bool wasResent = false;
         SteadyClock::time_point deadline;
         /** True if part of the response was read since the deadlines were last checked. */
         bool hasProgress = false;
@@ -358,6 +359,7 @@
     transfer.hasExpired = transfer.call.isValid && !transfer.call.isValid();
     if (transfer.hasExpired)
         return CURL_PREREQFUNC_ABORT;
+    transfer.wasResent = transfer.mayHaveBeenSent;
     transfer.mayHaveBeenSent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -448,6 +450,7 @@
     if (transfer.hasExpired && !transfer.mayHaveBeenSent)
         return makeExpiredResult(transfer);
     HttpResult result;
+    result.wasResent = transfer.wasResent;
     if (code != CURLE_OK || !isComplete(transfer)) {
         const std::string what
                 = code == CURLE_OK ? "the answer's end was not told" : curl_easy_strerror(code);
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -37,6 +37,9 @@
     /** True if the call was no longer valid when it was due to be sent; its outcome is `NotSent`.
      */
     bool hasExpired = false;
+    /** True if the library sent the request again after a reused connection had broken. The peer
+     * may have executed the first copy, whatever it answered to the second. */
+    bool wasResent = false;
     /** Number of connections opened for the call. */
     std::uint32_t newConnections = 0;
 };
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -1,105 +1,15 @@
-#include "drivers/http_client.h"
+#include "tests/drivers/served_port.h"
 
-#include <catch2/catch.hpp>
-
-#include <arpa/inet.h>
 #include <atomic>
 #include <future>
 #include <memory>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace gentiancross;
+using namespace gentiancross::tests;
 
 namespace {
 
-constexpr char Ip[] = "127.9.9.3";
-constexpr char EmptyResponse[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-
-/** A server connection that the test reads and writes directly. */
-class ServedConnection
-{
-public:
-    explicit ServedConnection(int socket)
-        : m_socket(socket)
-    {}
-    ServedConnection(const ServedConnection &) = delete;
-    ServedConnection &operator=(const ServedConnection &) = delete;
-    ~ServedConnection() { close(); }
-
-    /** Reads the head of a request without a body. */
-    void readRequest() const
-    {
-        std::string text;
-        char byte = 0;
-        while (text.find("\r\n\r\n") == std::string::npos && ::recv(m_socket, &byte, 1, 0) == 1)
-            text.push_back(byte);
-    }
-
-    void answer() const
-    {
-        REQUIRE(::send(m_socket, EmptyResponse, sizeof EmptyResponse - 1, MSG_NOSIGNAL) > 0);
-    }
-
-    void close()
-    {
-        if (m_socket >= 0)
-            ::close(m_socket);
-        m_socket = -1;
-    }
-
-private:
-    int m_socket;
-};
-
-/** A listening port whose connections the test accepts directly. */
-class ServedPort
-{
-public:
-    ServedPort()
-        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address = {};
-        address.sin_family = AF_INET;
-        ::inet_pton(AF_INET, Ip, &address.sin_addr);
-        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
-        REQUIRE(::listen(m_socket, 8) == 0);
-        socklen_t length = sizeof address;
-        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length);
-        m_port = ntohs(address.sin_port);
-    }
-    ServedPort(const ServedPort &) = delete;
-    ServedPort &operator=(const ServedPort &) = delete;
-    ~ServedPort() { close(); }
-
-    [[nodiscard]] ServedConnection accept() const
-    {
-        return ServedConnection(::accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC));
-    }
-
-    void close()
-    {
-        if (m_socket >= 0)
-            ::close(m_socket);
-        m_socket = -1;
-    }
-
-    [[nodiscard]] HttpCall call(Milliseconds timeout = Milliseconds(20'000)) const
-    {
-        HttpCall call;
-        call.method = "GET";
-        call.url = std::string("http://") + Ip + ':' + std::to_string(m_port) + '/';
-        call.timeout = timeout;
-        return call;
-    }
-
-private:
-    int m_socket;
-    std::uint16_t m_port = 0;
-};
-
 std::future<HttpResult> start(HttpClient &client, HttpCall call)
 {
     auto promise = std::make_shared<std::promise<HttpResult>>();
@@ -151,6 +61,27 @@
     CHECK(second.get().outcome == CallOutcome::Broken);
 }
 
+// Guards against an answer to the second copy of a request that is taken for the only one.
+TEST_CASE("A response to a resent request says that it was sent before")
+{
+    ServedPort port;
+    HttpClient client;
+    std::future<HttpResult> first = start(client, port.call());
+    ServedConnection connection = port.accept();
+    connection.readRequest();
+    connection.answer();
+    CHECK_FALSE(first.get().wasResent);
+    std::future<HttpResult> second = start(client, port.call());
+    connection.readRequest();
+    connection.close();
+    const ServedConnection next = port.accept();
+    next.readRequest();
+    next.answer();
+    const HttpResult result = second.get();
+    CHECK(result.outcome == CallOutcome::Answered);
+    CHECK(result.wasResent);
+}
+
 TEST_CASE("A response that has arrived is read before its call times out")
 {
     // Guards against a process that was paused, or got no processor time, and then treated workers
--- a/tests/platform/worker_caller_test.cpp
+++ b/tests/platform/worker_caller_test.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/http_listener.h"
 #include "servers/work_queue.h"
+#include "tests/drivers/served_port.h"
 
 #include <catch2/catch.hpp>
 
@@ -103,3 +104,36 @@
     client.stop();
     worker.listener().stop();
 }
+
+// Guards against a task in two places: a worker executed a start and its connection broke before
+// the answer. The library resent the start, and a refusal of that copy counted for the whole order,
+// so that the task started elsewhere and its room was used again.
+TEST_CASE("A refusal of a resent order does not say that the order was not executed")
+{
+    const std::string refusal = "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+    tests::ServedPort port;
+    const FixedClock clock;
+    AnswerQueue answers;
+    HttpClient client(1);
+    platform::WorkerCaller caller(client, clock, answers, {});
+    CallWorker start = makeLeaseRenewal(Milliseconds(0));
+    start.address = port.address();
+    start.order = OrderStart{{{JobId("00000000000000aa"), 0, 0}, 0},
+                             RunNumber(1),
+                             std::make_shared<const std::string>("payload"),
+                             {},
+                             {}};
+    caller.carryOut(start);
+    tests::ServedConnection connection = port.accept();
+    connection.readRequest();
+    connection.answer(refusal);
+    CHECK(answers.take().verdict == WorkerVerdict::Refused);
+    caller.carryOut(start);
+    connection.readRequest();
+    connection.close();
+    const tests::ServedConnection next = port.accept();
+    next.readRequest();
+    next.answer(refusal);
+    CHECK(answers.take().verdict == WorkerVerdict::NoAnswer);
+    client.stop();
+}
