Send an order once although its message reaches the delegate twice

What could be seen: a task on two workers, or a worker over its room, around connections between hosts that are reset.

Cause: the HTTP library resends a message between hosts when a reused connection breaks. A delegate sent the orders in both copies. The copy was often too old and was reported as unsent; if that report came first, the leader took back the lease and treated a start that had been executed as one that never left.

Change: a delegate remembers the newest 20,000 calls of the leader it serves and drops those that it has received, with a log line.

Evidence: "A keeper sends orders once..." failed before (two orders sent again) and passes now.

--- a/control/jobs/order_delegate.cpp
+++ b/control/jobs/order_delegate.cpp
@@ -11,6 +11,10 @@
 /** Answers within this interval share a message; it delays the report of a task's end. */
 constexpr Milliseconds BatchInterval{15};
 
+/** A message that arrives twice does so within a few time-outs; covers some seconds of orders at
+ * the highest rate. */
+constexpr std::size_t MaxReceivedCalls = 20'000;
+
 } // namespace
 
 void OrderDelegate::receive(const HostId &from, const WorkerOrders &orders, Outbox &out)
@@ -22,12 +26,31 @@
         out.count(CellEvent::OrderDropped, static_cast<std::uint32_t>(orders.calls.size()));
         return;
     }
-    if (orders.calls.front().fence > m_fence)
+    if (orders.calls.front().fence > m_fence) {
         m_collected.answers.clear();
+        m_received.clear();
+    }
     m_fence = orders.calls.front().fence;
     m_leader = from;
-    for (const CallWorker &call : orders.calls)
-        out.add(call);
+    std::uint32_t repeated = 0;
+    for (const CallWorker &call : orders.calls) {
+        if (recordNew(call.call))
+            out.add(call);
+        else
+            ++repeated;
+    }
+    if (repeated == 0)
+        return;
+    out.add(LogLine{true, from.value(),
+                    absl::StrCat("orders dropped: calls=", repeated, " received before")});
+    out.count(CellEvent::OrderDropped, repeated);
+}
+
+bool OrderDelegate::recordNew(CallId call)
+{
+    if (m_received.size() >= MaxReceivedCalls)
+        m_received.erase(m_received.begin());
+    return m_received.insert(call).second;
 }
 
 void OrderDelegate::receive(Instant now, const WorkerAnswer &answer, Outbox &out)
--- a/tests/control/jobs/order_dispatcher_test.cpp
+++ b/tests/control/jobs/order_dispatcher_test.cpp
@@ -216,6 +216,27 @@
         CHECK(std::holds_alternative<LogLine>(effect));
 }
 
+// Guards against a second copy of a message with orders, which the sender's HTTP library may send
+// when a connection breaks. The copy was too old to be sent, and that answer counted for the order
+// that the worker had executed.
+TEST_CASE("A keeper sends orders once although their message arrives twice")
+{
+    Leader leader;
+    Outbox out(false);
+    OrderDelegate delegate{SessionId("now")};
+    WorkerOrders orders{SessionId("now"), {leader.makeCall("v"), leader.makeCall("w")}};
+    delegate.receive(HostId("leader"), orders, out);
+    CHECK(out.take().size() == 2);
+    delegate.receive(HostId("leader"), orders, out);
+    for (const Effect &effect : out.take())
+        CHECK(std::holds_alternative<LogLine>(effect));
+    // The next leader may use the same number.
+    for (CallWorker &call : orders.calls)
+        call.fence = call.fence.next();
+    delegate.receive(HostId("next"), orders, out);
+    CHECK(out.take().size() == 2);
+}
+
 TEST_CASE("A host that has just lost leadership forwards no answers to its own orders")
 {
     Outbox out(false);
