Hold back signals from the start of a host until its loop handles them

Operators saw a host end without a log line when its settings changed while it started: SIGHUP ends a process that does not handle it yet.

Change: main blocks SIGTERM, SIGINT and SIGHUP before anything else; the main loop of a host releases them once it handles them, other verbs at once. Threads that were started before inherit the mask, so the main thread gets them.

What is left is the time before main, in which the libraries are loaded. "A signal that arrives before the main loop runs..." covers the loop.

--- a/drivers/main_loop.cpp
+++ b/drivers/main_loop.cpp
@@ -5,6 +5,8 @@
 #include <ace/Select_Reactor.h>
 #include <ace/Timer_Heap_T.h>
 
+#include <csignal>
+
 namespace gentiancross {
 
 namespace {
@@ -15,8 +17,27 @@
 
 constexpr long MicrosecondsPerMillisecond = 1000;
 
+void maskHostSignals(int how)
+{
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        ::sigaddset(&signals, signal);
+    ::pthread_sigmask(how, &signals, nullptr);
+}
+
 } // namespace
 
+void MainLoop::holdSignals()
+{
+    maskHostSignals(SIG_BLOCK);
+}
+
+void MainLoop::releaseSignals()
+{
+    maskHostSignals(SIG_UNBLOCK);
+}
+
 MainLoop::MainLoop(MainLoopHandler &handler)
     : m_handler(handler)
     , m_timers(std::make_unique<MonotonicTimers>())
@@ -40,6 +61,7 @@
 {
     const ACE_Time_Value interval(0, Interval.value() * MicrosecondsPerMillisecond);
     m_reactor.schedule_timer(this, nullptr, interval, interval);
+    releaseSignals();
     m_reactor.run_reactor_event_loop();
     m_reactor.cancel_timer(this);
 }
--- a/drivers/main_loop.h
+++ b/drivers/main_loop.h
@@ -36,12 +36,19 @@
     static constexpr Milliseconds Interval{50};
 
     /** \a handler must outlive this object. */
+    /** Holds back the signals that end a host or change its settings, until a loop runs; their
+     * default action ends the process. Call on the main thread before any other thread starts. */
+    static void holdSignals();
+    /** Ends the effect of holdSignals() on this thread; signals that came meanwhile take effect. */
+    static void releaseSignals();
+
     explicit MainLoop(MainLoopHandler &handler);
     ~MainLoop() override;
 
     /** Forwards \a signal to the handler from now on. Precondition: not running. */
     void watchSignal(int signal);
-    /** Runs until stop() is called. Call once, on one thread. */
+    /** Runs until stop() is called, and delivers signals that were held back. Call once, on the
+     * main thread. */
     void run();
     /** Ends the loop. Thread safety: any thread. */
     void stop();
--- a/main/cell_command.h
+++ b/main/cell_command.h
@@ -13,6 +13,7 @@
     {
         return "runs a host of a cell on a platform";
     }
+    [[nodiscard]] bool handlesSignals() const override { return true; }
     ExitCode run(const std::vector<std::string> &words) override;
 };
 
--- a/main/command.h
+++ b/main/command.h
@@ -32,6 +32,8 @@
 
     [[nodiscard]] virtual std::string name() const = 0;
     [[nodiscard]] virtual std::string summary() const = 0;
+    /** True if the verb runs a MainLoop, which signals have to wait for. */
+    [[nodiscard]] virtual bool handlesSignals() const { return false; }
     /** Runs the verb. \a words starts with the verb. Errors are printed on one line. */
     virtual ExitCode run(const std::vector<std::string> &words) = 0;
 };
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,3 +1,4 @@
+#include "drivers/main_loop.h"
 #include "main/cell_command.h"
 #include "main/client_commands.h"
 #include "main/command.h"
@@ -55,6 +56,7 @@
 
 int main(int argc, char **argv)
 {
+    gentiancross::MainLoop::holdSignals();
     std::signal(SIGPIPE, SIG_IGN); // A write to a closed connection then fails with EPIPE.
     if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
         std::cerr << "gentiancross: settings: the libraries could not be set up\n";
@@ -68,8 +70,11 @@
         return 0;
     }
     for (const auto &command : commands) {
-        if (command->name() == verb)
-            exitProcess(command->run(words));
+        if (command->name() != verb)
+            continue;
+        if (!command->handlesSignals())
+            gentiancross::MainLoop::releaseSignals();
+        exitProcess(command->run(words));
     }
     std::cerr << "gentiancross: settings: there is no verb \"" << verb << "\"\n";
     printUsage(std::cerr, commands);
--- a/main/serve_command.h
+++ b/main/serve_command.h
@@ -10,6 +10,7 @@
 public:
     [[nodiscard]] std::string name() const override { return "serve"; }
     [[nodiscard]] std::string summary() const override { return "runs an entry host"; }
+    [[nodiscard]] bool handlesSignals() const override { return true; }
     ExitCode run(const std::vector<std::string> &words) override;
 };
 
--- a/tests/drivers/main_loop_test.cpp
+++ b/tests/drivers/main_loop_test.cpp
@@ -48,3 +48,16 @@
     CHECK(handler.ticks >= 2);
     CHECK(handler.signal == SIGUSR1);
 }
+
+// Guards against a host that ends without a log line because its settings change while it starts.
+TEST_CASE("A signal that arrives before the main loop runs is delivered by it")
+{
+    MainLoop::holdSignals();
+    std::raise(SIGHUP);
+    CountingHandler handler;
+    MainLoop mainLoop(handler);
+    handler.mainLoop = &mainLoop;
+    mainLoop.watchSignal(SIGHUP);
+    mainLoop.run();
+    CHECK(handler.signal == SIGHUP);
+}
