Count a gang's failed run once, however many members fail in it

Cause: failures were counted on the gang's first member, one for each member's end. Now each member counts its own failure and starts with the highest count of the gang, so a run raises the count by one. The records and the stored state keep their form; mixed builds would count differently.

--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -66,6 +66,9 @@
         TaskProgress *const task = findTask(record.task);
         if (task == nullptr || record.run <= task->lastRun)
             return;
+        const StepRef &ref = record.task.step;
+        if (job->spec.steps[ref.step].isGang)
+            inheritFailures(job->occurrences.at(ref.occurrence).steps[ref.step], *task);
         task->lastRun = record.run;
         task->mayStillRun = true;
         task->worker = record.worker;
@@ -227,12 +230,18 @@
             task.checkpoint = record.checkpoint;
     }
 
+    /** Gives a gang's member that starts the number of the gang's failed runs. In a run each member
+     * counts its own failure, so the run counts once however many of them fail. */
+    static void inheritFailures(const std::vector<TaskProgress> &gang, TaskProgress &member)
+    {
+        for (const TaskProgress &task : gang)
+            member.failures = std::max(member.failures, task.failures);
+    }
+
     static void countFailure(const RunEnded &record, Job &job, const StepSpec &step)
     {
-        std::vector<TaskProgress> &tasks
-                = job.occurrences.at(record.task.step.occurrence).steps[record.task.step.step];
-        // A gang's failures are counted on its first member.
-        TaskProgress &task = tasks[step.isGang ? 0 : record.task.index];
+        TaskProgress &task = job.occurrences.at(record.task.step.occurrence)
+                                     .steps[record.task.step.step][record.task.index];
         ++task.failures;
         if (!step.isLongRunning && task.failures >= job.terms.maxAttempts && !job.isOver())
             end(job, JobState::Failed);
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -12,6 +12,7 @@
 {
     /** The number of its last run; 0 if it never started. */
     RunNumber lastRun;
+    /** Failed runs; of a gang's member, those of the gang up to its last start and its own. */
     std::uint32_t failures = 0;
     /** True while the last run may still be running. */
     bool mayStillRun = false;
--- a/tests/control/jobs/job_store_test.cpp
+++ b/tests/control/jobs/job_store_test.cpp
@@ -156,6 +156,28 @@
     CHECK(store.runs.count == 0);
 }
 
+// Guards against a gang that is shown as failed after one run, because its worker failed several
+// members in that run.
+TEST_CASE("A run of a gang counts as one failure, whichever and however many members fail")
+{
+    StoreBench store;
+    StepSpec step = makeStep(3, 100);
+    step.isGang = true;
+    constexpr std::uint32_t MaxAttempts = 3;
+    store.apply(makeJob("a", {step}, MaxAttempts));
+    const std::vector<std::vector<std::uint32_t>> failing = {{0, 1, 2}, {2, 1}, {0, 2}};
+    for (std::uint64_t run = 1; run <= failing.size(); ++run) {
+        CHECK(store.state("a") != JobState::Failed);
+        for (std::uint32_t index = 0; index < step.count; ++index)
+            store.order(makeTask("a", 0, index), run, makeIncarnation("w"));
+        for (const std::uint32_t index : failing[run - 1])
+            store.end(makeTask("a", 0, index), run, RunEnding::Failed);
+        for (std::uint32_t index = 0; index < step.count; ++index)
+            store.end(makeTask("a", 0, index), run, RunEnding::GangBroken);
+    }
+    CHECK(store.state("a") == JobState::Failed);
+}
+
 TEST_CASE("The highest configuration version is kept, and a job is accepted once")
 {
     StoreBench store;
