Soak workers that execute orders without a response, and write up the faults

Until now the soak's workers were silent or dead, and none executed an order whose answer was lost. Seeds of the soak without the flag play as before.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES = $(shell git ls-files 'core/*' 'control/*' 'drivers/*' 'platform/*' 'servers/*' 'main/*' 'tests/*' 'benchmarks/*' \
           | grep -E '\.(h|cpp)$$')
 
-.PHONY: all install build run test unit scenarios scenario soak soak-regressions bench format-check lint clean
+.PHONY: all install build run test unit scenarios scenario soak soak-regressions soak-lost-responses bench format-check lint clean
 
 all: build
 
@@ -23,7 +23,7 @@
 run: build
 	@$(RUNNER) tests/scenarios/tour.scenario
 
-test: unit scenarios soak-regressions
+test: unit scenarios soak-regressions soak-lost-responses
 
 unit: build
 	@$(BUILD)/tests/unit-tests
@@ -54,6 +54,9 @@
 soak-regressions: build
 	@grep -v '^#' tests/soak/regressions.txt | cut -d'|' -f1 | xargs -n 1 $(SOAK) --seed
 
+soak-lost-responses: build
+	@$(SOAK) --lose-responses --workers 48 --jobs 12 --seed 3100
+
 bench: build
 	@$(BUILD)/benchmarks/bench $(BUILD)/bench.json $$(git rev-parse --short HEAD)
 
--- a/tests/soak/emulated_worker.cpp
+++ b/tests/soak/emulated_worker.cpp
@@ -146,10 +146,25 @@
     const std::lock_guard lock(m_mutex);
     if (m_fault == WorkerFault::Silent)
         m_delayedRequests.emplace_back(token, std::move(request));
+    else if (m_fault == WorkerFault::LosesResponses)
+        handleUnreliably(token, request);
     else
         handle(token, request);
 }
 
+void EmulatedWorker::handleUnreliably(HttpToken token, const HttpRequest &request)
+{
+    constexpr int StatusUnavailable = 503;
+    const std::uint64_t kind = m_unreliableRequests++ % 3;
+    if (kind == 0 && request.path != "/hold") {
+        answer(token, StatusUnavailable, {});
+        return;
+    }
+    m_isResponseLost = kind == 1;
+    handle(token, request);
+    m_isResponseLost = false;
+}
+
 void EmulatedWorker::handle(HttpToken token, const HttpRequest &request)
 {
     Json::Value json;
@@ -179,6 +194,8 @@
 
 void EmulatedWorker::answer(HttpToken token, int status, Json::Value json)
 {
+    if (m_isResponseLost)
+        return;
     json["clock_ms"] = Json::Int64(clockMs());
     json["born"] = Json::Int64(m_bornMs);
     HttpResponse response;
--- a/tests/soak/emulated_worker.h
+++ b/tests/soak/emulated_worker.h
@@ -19,6 +19,8 @@
     None,
     /** Sends no responses or heartbeats; requests received meanwhile are handled on recovery. */
     Silent,
+    /** Refuses some orders without executing them, and executes others without a response. */
+    LosesResponses,
 };
 
 /**
@@ -75,6 +77,8 @@
 
     [[nodiscard]] std::int64_t clockMs() const;
     void handle(HttpToken token, const HttpRequest &request);
+    /** Handles a request under `WorkerFault::LosesResponses`. */
+    void handleUnreliably(HttpToken token, const HttpRequest &request);
     void answer(HttpToken token, int status, Json::Value json);
     void refuse(HttpToken token, const char *reason);
     void startRun(HttpToken token, const Json::Value &json);
@@ -105,6 +109,10 @@
     std::uint64_t m_lastCompletion = 0;
     std::optional<PendingRenewal> m_pendingRenewal;
     WorkerFault m_fault = WorkerFault::None;
+    /** Number of requests handled under `WorkerFault::LosesResponses`. */
+    std::uint64_t m_unreliableRequests = 0;
+    /** True while the responses of the request being handled are not sent. */
+    bool m_isResponseLost = false;
     std::vector<std::pair<HttpToken, HttpRequest>> m_delayedRequests;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -81,7 +81,9 @@
     const Instant begin = m_clock.now();
     m_clients.start();
     injectUntil(begin + Milliseconds(std::int64_t(m_options.seconds) * 1000));
-    runDueRecoveries(true);
+    // A recovery may schedule another one.
+    while (!m_recoveries.empty())
+        runDueRecoveries(true);
     m_clients.stopSubmitting();
     m_ranMs = (m_clock.now() - begin).value();
     m_checker.recordEvent("all faults have ended");
@@ -178,7 +180,7 @@
 void Soak::injectOne()
 {
     using Fault = void (Soak::*)();
-    static const std::vector<Fault> faults = {
+    std::vector<Fault> faults = {
             &Soak::killHost,      &Soak::killHost,       &Soak::killAllKeepers,
             &Soak::pauseHost,     &Soak::pauseHost,      &Soak::terminateHost,
             &Soak::isolateHost,   &Soak::isolateHost,    &Soak::disruptCallers,
@@ -186,6 +188,9 @@
             &Soak::silenceWorker, &Soak::silenceWorker,  &Soak::changeConfiguration,
             &Soak::rotateKeys,    &Soak::reloadSettings,
     };
+    constexpr std::size_t LossWeight = 6;
+    if (m_options.losesResponses)
+        faults.insert(faults.end(), LossWeight, &Soak::loseResponses);
     const auto chosen = std::size_t(m_random.between(0, std::int64_t(faults.size()) - 1));
     (this->*faults[chosen])();
 }
@@ -347,6 +352,23 @@
                      [this, index] { m_platform.workers()[index]->setFault(WorkerFault::None); });
 }
 
+void Soak::loseResponses()
+{
+    const std::int64_t share = m_random.between(2, 6);
+    const std::int64_t length = m_random.between(300, 3000);
+    m_checker.recordEvent("one in " + std::to_string(share) + " workers loses responses");
+    for (std::size_t index = 0; index < m_platform.workers().size(); ++index) {
+        if (!m_random.chance(1.0 / double(share)))
+            continue;
+        m_platform.workers()[index]->setFault(WorkerFault::LosesResponses);
+        scheduleRecovery(length, [this, index] {
+            m_platform.workers()[index]->setFault(WorkerFault::None);
+        });
+    }
+    if (m_random.chance(0.4))
+        scheduleRecovery(m_random.between(0, length), [this] { killAllKeepers(); });
+}
+
 void Soak::changeConfiguration()
 {
     m_documentVersion += std::uint64_t(m_random.between(1, 3));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,9 @@
     int maxTasksPerStep = 8;
     /** False for a run that only measures throughput and waits. */
     bool injectsFaults = true;
+    /** True if workers also lose responses, together with losses of all keepers. The faults of a
+     * seed differ from those without this. */
+    bool losesResponses = false;
 };
 
 /**
@@ -73,6 +76,8 @@
     void eraseDisk();
     void crashWorker();
     void silenceWorker();
+    /** Makes part of the workers lose responses, and often kills all keepers meanwhile. */
+    void loseResponses();
     void changeConfiguration();
     void rotateKeys();
     void reloadSettings();
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -26,6 +26,7 @@
     TCLAP::ValueArg<double> jobs("", "jobs", "jobs a second", false, 5, "number", line);
     TCLAP::ValueArg<int> widest("", "widest", "tasks of a step", false, 8, "number", line);
     TCLAP::SwitchArg calm("", "calm", "injects no faults", line);
+    TCLAP::SwitchArg lose("", "lose-responses", "workers also lose responses", line);
     line.parse(argc, argv);
 
     int failed = 0;
@@ -42,6 +43,7 @@
         options.jobsPerSecond = jobs.getValue();
         options.maxTasksPerStep = widest.getValue();
         options.injectsFaults = !calm.getValue();
+        options.losesResponses = lose.getValue();
         std::filesystem::remove_all(options.folder);
         std::filesystem::create_directories(options.folder);
         gentiancross::tests::Soak soak(options);
