--- a/control/jobs/advice_lookahead.cpp
+++ b/control/jobs/advice_lookahead.cpp
@@ -57,9 +57,23 @@
     return product;
 }
 
-bool isUsedUp(const Resources &room)
+/** What a cap leaves beside \a used; a component of the cap that is 0 is no limit. */
+Resources roomWithin(const Resources &cap, const Resources &used)
 {
-    return room.cores <= MilliCores(0) || room.memory <= Mebibytes(0);
+    Resources room = cap;
+    room -= used;
+    if (cap.cores == MilliCores(0))
+        room.cores = MilliCores(Unlimited);
+    if (cap.memory == Mebibytes(0))
+        room.memory = Mebibytes(Unlimited);
+    if (cap.accelerators == Accelerators(0))
+        room.accelerators = Accelerators(Unlimited);
+    return room;
+}
+
+bool hasCores(const Resources &room)
+{
+    return room.cores > MilliCores(0);
 }
 
 } // namespace
@@ -73,7 +87,7 @@
         m_workers.push_back(&worker);
         Resources room = worker.freeCapacity();
         room += multiply(worker.report.capacity, AheadPercent, Percent);
-        if (!isUsedUp(room))
+        if (hasCores(room))
             m_rooms.push_back({&worker, room});
     }
 }
@@ -83,11 +97,15 @@
 {
     if (!canHold(job, step, advice, step.isGang ? step.count : 1))
         return false;
-    const TeamId &team = job.terms.team;
+    const Resources cap = m_usage.cap(job.terms.team);
+    Resources &waiting = m_waiting[job.terms.team];
+    Resources used = m_usage.running(job.terms.team);
+    used += waiting;
+    waiting += multiply(step.perTask, static_cast<std::int64_t>(tasks));
     const std::uint64_t withinCap
-            = std::min(tasks, wholeTasksIn(capRoom(team, Percent), step.perTask));
-    const bool mayStartSoon = milliTasksIn(capRoom(team, Percent + AheadPercent), step.perTask) > 0;
-    m_waiting[team] += multiply(step.perTask, static_cast<std::int64_t>(tasks));
+            = std::min(tasks, wholeTasksIn(roomWithin(cap, used), step.perTask));
+    const Resources capAhead = multiply(cap, Percent + AheadPercent, Percent);
+    const bool mayStartSoon = milliTasksIn(roomWithin(capAhead, used), step.perTask) > 0;
     const std::uint64_t startable = step.isGang && withinCap < tasks ? 0 : withinCap;
     if (startable == 0)
         return mayStartSoon && !m_rooms.empty();
@@ -101,24 +119,6 @@
     return m_claimedMilliTasks / Milli;
 }
 
-Resources AdviceLookahead::capRoom(const TeamId &team, std::int64_t percent) const
-{
-    const Resources cap = m_usage.cap(team);
-    Resources used = m_usage.running(team);
-    const auto waiting = m_waiting.find(team);
-    if (waiting != m_waiting.end())
-        used += waiting->second;
-    Resources room = multiply(cap, percent, Percent);
-    room -= used;
-    if (cap.cores == MilliCores(0))
-        room.cores = MilliCores(Unlimited);
-    if (cap.memory == Mebibytes(0))
-        room.memory = Mebibytes(Unlimited);
-    if (cap.accelerators == Accelerators(0))
-        room.accelerators = Accelerators(Unlimited);
-    return room;
-}
-
 bool AdviceLookahead::canHold(const Job &job, const StepSpec &step, const Advice &advice,
                               std::uint64_t tasks) const
 {
@@ -152,11 +152,11 @@
             room.left -= multiply(task, static_cast<std::int64_t>(here), Milli);
             claimed += here;
         }
-        if (isUsedUp(room.left)) {
+        if (hasCores(room.left)) {
+            ++index;
+        } else {
             room = m_rooms.back();
             m_rooms.pop_back();
-        } else {
-            ++index;
         }
     }
     return claimed;
--- a/control/jobs/advice_lookahead.h
+++ b/control/jobs/advice_lookahead.h
@@ -41,8 +41,6 @@
         Resources left;
     };
 
-    /** What the cap of \a team leaves beside what runs and waits, with \a percent of the cap. */
-    [[nodiscard]] Resources capRoom(const TeamId &team, std::int64_t percent) const;
     /** True if the workers could run at least \a tasks of the step at once if they were idle. */
     [[nodiscard]] bool canHold(const Job &job, const StepSpec &step, const Advice &advice,
                                std::uint64_t tasks) const;
