Say once when a step is done, and which workers a step may claim

isStepDone stood in job_store.cpp twice and in ready_queue.cpp; the check of pool, label, size and the adviser's word stood in AdviceLookahead twice.

--- a/control/jobs/advice_lookahead.cpp
+++ b/control/jobs/advice_lookahead.cpp
@@ -71,6 +71,15 @@
     return room;
 }
 
+/** True if tasks of the step could run on the worker if it were idle and, as far as is known, the
+ * adviser allows it. */
+bool isEligible(const PooledWorker &worker, const Job &job, const StepSpec &step,
+                const Advice &advice)
+{
+    return couldRunWhenIdle(worker, job.terms.pool, step)
+            && !advice.isUnsuitable(worker.report.incarnation.worker);
+}
+
 bool hasCores(const Resources &room)
 {
     return room.cores > MilliCores(0);
@@ -126,8 +135,7 @@
     for (const PooledWorker *const worker : m_workers) {
         if (held >= tasks)
             break;
-        if (!couldRunWhenIdle(*worker, job.terms.pool, step)
-            || advice.isUnsuitable(worker->report.incarnation.worker))
+        if (!isEligible(*worker, job, step, advice))
             continue;
         const std::uint64_t here = wholeTasksIn(worker->report.capacity, step.reserved());
         held += step.maxPerWorker > 0 ? std::min<std::uint64_t>(here, step.maxPerWorker) : here;
@@ -143,9 +151,7 @@
     std::uint64_t claimed = 0;
     for (std::size_t index = 0; index < m_rooms.size() && claimed < milliTasks;) {
         Room &room = m_rooms[index];
-        const bool isEligible = couldRunWhenIdle(*room.worker, job.terms.pool, step)
-                && !advice.isUnsuitable(room.worker->report.incarnation.worker);
-        if (isEligible) {
+        if (isEligible(*room.worker, job, step, advice)) {
             std::uint64_t here = std::min(milliTasks - claimed, milliTasksIn(room.left, task));
             if (step.maxPerWorker > 0)
                 here = std::min(here, mostPerWorker);
--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -206,11 +206,9 @@
     void finishOccurrence(const StepRef &ref, Job &job)
     {
         const auto found = job.occurrences.find(ref.occurrence);
-        for (const std::vector<TaskProgress> &tasks : found->second.steps) {
-            if (!std::all_of(tasks.begin(), tasks.end(),
-                             [](const TaskProgress &task) { return task.isDone; }))
-                return;
-        }
+        const auto &steps = found->second.steps;
+        if (!std::all_of(steps.begin(), steps.end(), &jobstore::isStepDone))
+            return;
         ++job.occurrencesDone;
         if (job.isOver() || job.occurrencesDone < std::max(1U, job.spec.repeats))
             return;
@@ -299,13 +297,17 @@
     return false;
 }
 
+bool isStepDone(const std::vector<TaskProgress> &tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const TaskProgress &task) { return task.isDone; });
+}
+
 bool isStepReady(const Job &job, const Occurrence &occurrence, std::uint32_t step)
 {
     const std::vector<std::uint32_t> &after = job.spec.steps[step].after;
     return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-        const std::vector<TaskProgress> &tasks = occurrence.steps[earlier];
-        return std::all_of(tasks.begin(), tasks.end(),
-                           [](const TaskProgress &task) { return task.isDone; });
+        return isStepDone(occurrence.steps[earlier]);
     });
 }
 
--- a/control/jobs/job_store.h
+++ b/control/jobs/job_store.h
@@ -40,6 +40,9 @@
  * Reentrant. */
 bool isRunnable(const JobSpec &spec);
 
+/** True if all tasks of a step are done. Reentrant. */
+bool isStepDone(const std::vector<TaskProgress> &tasks);
+
 /** True if all tasks of the steps that \a step depends on are done. Reentrant. */
 bool isStepReady(const Job &job, const Occurrence &occurrence, std::uint32_t step);
 
--- a/control/jobs/ready_queue.cpp
+++ b/control/jobs/ready_queue.cpp
@@ -6,17 +6,6 @@
 
 namespace gentiancross {
 
-namespace {
-
-bool isStepDone(const Occurrence &occurrence, std::uint32_t step)
-{
-    const std::vector<TaskProgress> &tasks = occurrence.steps[step];
-    return std::all_of(tasks.begin(), tasks.end(),
-                       [](const TaskProgress &task) { return task.isDone; });
-}
-
-} // namespace
-
 ReadyQueue::ReadyQueue(std::unique_ptr<StepOrder> order)
     : m_order(std::move(order))
 {}
@@ -66,7 +55,7 @@
 {
     const JobTiming &timing = m_timings.at(step.job);
     rankStep(now, step, job, timing);
-    if (!isStepDone(job.occurrences.at(step.occurrence), step.step))
+    if (!jobstore::isStepDone(job.occurrences.at(step.occurrence).steps[step.step]))
         return;
     for (const std::uint32_t dependent : timing.dependents[step.step])
         rankStep(now, {step.job, step.occurrence, dependent}, job, timing);
