Don't place a gang one by one for which there is no room

What callers would see: a gang of many members that waits for room delays everybody, since each plan placed its members one by one, on each rack and on all workers, until the room was used up.

Change: the planner sums the room of the workers first, by rack, and tries only where the members may fit. What is placed stays the same.

--- a/control/jobs/advice_lookahead.cpp
+++ b/control/jobs/advice_lookahead.cpp
@@ -1,6 +1,7 @@
 #include "control/jobs/advice_lookahead.h"
 
 #include "control/jobs/start_policy.h"
+#include "control/jobs/task_fit.h"
 
 #include <algorithm>
 
@@ -18,36 +19,6 @@
 /** Stands for a capacity without a limit; leaves room for arithmetic. */
 constexpr std::int64_t Unlimited = 1'000'000'000'000'000;
 
-/** The least of \a count(room, requested) over the components that \a task requests. */
-template <typename Count>
-std::uint64_t leastOver(const Resources &room, const Resources &task, Count count)
-{
-    std::int64_t least = Unlimited;
-    const auto consider = [&](std::int64_t left, std::int64_t requested) {
-        if (requested > 0)
-            least = std::min(least, count(std::max<std::int64_t>(left, 0), requested));
-    };
-    consider(room.cores.value(), task.cores.value());
-    consider(room.memory.value(), task.memory.value());
-    consider(room.accelerators.value(), task.accelerators.value());
-    return static_cast<std::uint64_t>(least);
-}
-
-/** The number of tasks that fit in \a room. */
-std::uint64_t wholeTasksIn(const Resources &room, const Resources &task)
-{
-    return leastOver(room, task,
-                     [](std::int64_t left, std::int64_t requested) { return left / requested; });
-}
-
-/** The part of tasks that uses up \a room, in thousandths. */
-std::uint64_t milliTasksIn(const Resources &room, const Resources &task)
-{
-    return leastOver(room, task, [](std::int64_t left, std::int64_t requested) {
-        return (left * Milli + requested - 1) / requested;
-    });
-}
-
 Resources multiply(const Resources &resources, std::int64_t factor, std::int64_t divisor = 1)
 {
     Resources product;
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/start_planner.h"
 
+#include "control/jobs/task_fit.h"
+
 #include <algorithm>
 
 namespace gentiancross {
@@ -150,15 +152,19 @@
         all += step.perTask;
     if (!m_usage.isWithinCap(job.terms.team, all) || !isAdmitted())
         return;
+    const std::map<RackId, std::uint64_t> roomByRack = findGangRoom(now, job, step);
+    std::uint64_t room = 0;
+    for (const auto &[rack, members] : roomByRack)
+        room += members;
+    // Placing the members one by one is costly, so it is not tried in vain.
+    if (room < step.count)
+        return;
     std::vector<WorkerIncarnation> places;
     bool isPlaced = false;
     if (step.prefersOneRack) {
-        std::set<RackId> racks;
-        for (const auto &[incarnation, worker] : m_pool.all())
-            racks.insert(worker.report.rack);
-        for (const RackId &rack : racks) {
-            isPlaced = isPlaced || placeGang(now, ref, job, &rack, places);
-        }
+        for (const auto &[rack, members] : roomByRack)
+            isPlaced = isPlaced
+                    || (members >= step.count && placeGang(now, ref, job, &rack, places));
     }
     if (!isPlaced && !placeGang(now, ref, job, nullptr, places))
         return;
@@ -173,6 +179,21 @@
                                ticketOf(now, ref, job, places[index]));
 }
 
+std::map<RackId, std::uint64_t> StartPlanner::findGangRoom(Instant now, const Job &job,
+                                                           const StepSpec &step)
+{
+    std::map<RackId, std::uint64_t> room;
+    for (const auto &[incarnation, worker] : m_pool.all()) {
+        if (!WorkerPool::isUsable(worker, now) || !couldRunWhenIdle(worker, job.terms.pool, step))
+            continue;
+        const std::uint64_t members = wholeTasksIn(worker.freeCapacity(), step.reserved());
+        room[worker.report.rack] += step.maxPerWorker > 0
+                ? std::min<std::uint64_t>(members, step.maxPerWorker)
+                : members;
+    }
+    return room;
+}
+
 bool StartPlanner::isAdmitted()
 {
     if (m_startsLeft > 0)
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -84,6 +84,9 @@
                   StartHandler &handler, Outbox &out);
     void planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
     void planGang(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
+    /** By rack, how many of the gang's members its workers have room for at most. */
+    [[nodiscard]] std::map<RackId, std::uint64_t> findGangRoom(Instant now, const Job &job,
+                                                               const StepSpec &step);
     /** False once the admission allows no more starts in this plan. */
     bool isAdmitted();
     bool placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
--- a/tests/control/jobs/start_planner_test.cpp
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -108,6 +108,37 @@
     LeaderBench m_bench;
 };
 
+/** Counts how often a worker is rated for a task. */
+class CountingCostPolicy final : public WorkerCostPolicy
+{
+public:
+    explicit CountingCostPolicy(std::size_t &count)
+        : m_count(count)
+    {}
+
+    [[nodiscard]] std::int64_t cost(const PooledWorker &, const StepSpec &) const override
+    {
+        ++m_count;
+        return 0;
+    }
+
+private:
+    std::size_t &m_count;
+};
+
+/** Counts the starts that are decided, and decides nothing else. */
+class StartCounter final : public StartHandler
+{
+public:
+    void onStartDecided(const JobTaskRef &, RunNumber, const WorkerIncarnation &,
+                        const std::string &) override
+    {
+        ++count;
+    }
+
+    std::size_t count = 0;
+};
+
 Resources cores(std::int64_t value)
 {
     Resources resources;
@@ -191,3 +222,49 @@
         CHECK(approveAll(cell.bench()).size() == 3);
     }
 }
+
+// Guards against a gang that waits for room and occupies the control thread in each plan: its
+// members were placed one by one, on each rack and on all workers, until there was no room left.
+TEST_CASE("A gang for which there is no room costs no more than one look at each worker")
+{
+    constexpr Instant Now{100'000};
+    constexpr std::uint32_t Members = 1000;
+    constexpr std::int64_t WorkerCount = 40;
+    StepSpec step = makeStep(Members, 200);
+    step.isGang = true;
+    step.prefersOneRack = GENERATE(false, true);
+    std::size_t ratings = 0;
+    JobStoreData data;
+    data.document = makeDocument();
+    WorkerPool pool{Instant()};
+    AdviceCoordinator advice(HostId("self"));
+    DelayAdmission admission({.initialLimit = Members});
+    StartPlanner planner(data, pool, advice, admission,
+                         std::make_unique<CountingCostPolicy>(ratings),
+                         std::make_unique<DeadlineStepOrder>());
+    const auto addWorkers = [&](std::int64_t millicores) {
+        for (std::int64_t number = 0; number < WorkerCount; ++number) {
+            WorkerReport report;
+            report.incarnation = makeIncarnation("w" + std::to_string(number));
+            report.pool = PoolId("pool");
+            report.rack = RackId("r" + std::to_string(number % 4));
+            report.capacity = cores(millicores);
+            report.capacity.memory = Mebibytes(1'000'000);
+            WorkerPool::setClock(pool.addOrUpdate(Now, report), Now, 1);
+        }
+    };
+    // Room for all members but one worker's share.
+    addWorkers(4800);
+    const JobAccepted record = makeJob("00000000000000aa", {step});
+    jobstore::apply(data, record, nullptr);
+    planner.jobChanged(Now, record.id, data.jobs.at(record.id));
+    Outbox out(false);
+    StartCounter starts;
+    planner.plan(Now, starts, out);
+    CHECK(ratings == 0);
+    CHECK(starts.count == 0);
+    addWorkers(5000);
+    planner.markChanged();
+    planner.plan(Now, starts, out);
+    CHECK(starts.count == Members);
+}
