Pass over waiting steps that fit no worker without a look at each

What callers would see: many jobs that can never start, of one team, slow every decision of the leader.

Cause: each waiting step cost a look at each worker in each plan, and AdviceLookahead had added another one to it.

Change: the pool keeps the largest capacities by pool and label, renewed when a worker's report changes; a step that fits none of them is passed over. What starts stays the same.

--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -104,7 +104,11 @@
     if (found == m_store.jobs.end() || found->second.isOver())
         return;
     const Job &job = found->second;
-    if (job.spec.steps[ready.step.step].isGang)
+    const StepSpec &step = job.spec.steps[ready.step.step];
+    // Steps that fit no worker stay in the queue, and may be many.
+    if (!m_pool.canHold(job.terms.pool, step))
+        return;
+    if (step.isGang)
         planGang(now, ready, job, handler);
     else
         planTasks(now, ready, job, handler);
@@ -113,8 +117,8 @@
         m_queue.updateStep(now, ready.step, job);
         return;
     }
-    const bool mayStartSoon = lookahead.claim(job, job.spec.steps[ready.step.step],
-                                              m_advice.adviceFor(now, ready.step), idle.size());
+    const bool mayStartSoon
+            = lookahead.claim(job, step, m_advice.adviceFor(now, ready.step), idle.size());
     if (job.terms.advice.has_value() && mayStartSoon)
         requestAdvice(now, ready.step, job, out);
 }
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -31,6 +31,9 @@
 {
     const auto [found, isNew] = m_workers.try_emplace(report.incarnation);
     PooledWorker &worker = found->second;
+    const bool hasSameCapacity = worker.report.pool == report.pool
+            && worker.report.capacity == report.capacity && worker.report.labels == report.labels;
+    m_areCapacitiesCurrent = m_areCapacitiesCurrent && !isNew && hasSameCapacity;
     worker.report = report;
     if (isNew) {
         worker.lastHeartbeat = now;
@@ -39,6 +42,23 @@
     return worker;
 }
 
+void WorkerPool::remove(const WorkerIncarnation &incarnation)
+{
+    m_workers.erase(incarnation);
+    m_areCapacitiesCurrent = false;
+}
+
+bool WorkerPool::canHold(const PoolId &pool, const StepSpec &step)
+{
+    if (!m_areCapacitiesCurrent) {
+        m_capacities.clear();
+        for (const auto &[incarnation, worker] : m_workers)
+            m_capacities.add(worker.report);
+        m_areCapacitiesCurrent = true;
+    }
+    return m_capacities.canHold(pool, step);
+}
+
 PooledWorker *WorkerPool::find(const WorkerIncarnation &incarnation)
 {
     const auto found = m_workers.find(incarnation);
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/jobs/capacity_index.h"
 #include "control/jobs/worker_pace.h"
 #include "core/job_calls.h"
 
@@ -140,7 +141,10 @@
 
     /** Adds an incarnation or updates its report. */
     PooledWorker &addOrUpdate(Instant now, const WorkerReport &report);
-    void remove(const WorkerIncarnation &incarnation) { m_workers.erase(incarnation); }
+    void remove(const WorkerIncarnation &incarnation);
+    /** True if a worker of \a pool could run a task of the step if it were idle and usable. Takes
+     * no longer with more workers, unless their reports have changed since the last call. */
+    [[nodiscard]] bool canHold(const PoolId &pool, const StepSpec &step);
     [[nodiscard]] PooledWorker *find(const WorkerIncarnation &incarnation);
     /** The newest incarnation of the worker; null if there is none. */
     [[nodiscard]] PooledWorker *findNewestIncarnation(const WorkerId &worker);
@@ -201,6 +205,8 @@
      * removed and registers again has seen its former ones. */
     FenceRevision m_lastRevision;
     std::map<WorkerIncarnation, PooledWorker> m_workers;
+    CapacityIndex m_capacities;
+    bool m_areCapacitiesCurrent = true;
     WorkerPace m_averagePace;
 };
 
--- a/tests/control/jobs/worker_pool_test.cpp
+++ b/tests/control/jobs/worker_pool_test.cpp
@@ -1,9 +1,13 @@
 #include "control/jobs/worker_pool.h"
 
+#include "control/jobs/start_policy.h"
 #include "tests/control/jobs/job_fixture.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <random>
+
 using namespace gentiancross;
 using namespace gentiancross::tests;
 
@@ -47,3 +51,38 @@
     WorkerPool::advanceClock(worker, start - Milliseconds(500), Clock - 500);
     CHECK(worker.clockAt == start);
 }
+
+// Guards against an index that lags behind the workers' reports, so that a step would never start.
+TEST_CASE("The pool knows whether a worker could hold a step exactly when a look at each says so")
+{
+    const std::uint32_t seed = GENERATE(range(1U, 21U));
+    std::minstd_rand random(seed);
+    const auto draw = [&](std::uint32_t below) { return std::int64_t(random() % below); };
+    const std::vector<std::string> labels = {"a", "b", "c"};
+    WorkerPool pool{Instant()};
+    for (int round = 0; round < 200; ++round) {
+        WorkerReport report;
+        report.incarnation = makeIncarnation("w" + std::to_string(draw(6)));
+        report.pool = PoolId("pool" + std::to_string(draw(2)));
+        report.capacity.cores = MilliCores(draw(5) * 1000);
+        report.capacity.memory = Mebibytes(draw(5) * 1000);
+        report.capacity.accelerators = Accelerators(draw(2));
+        report.labels = {labels[std::size_t(draw(3))]};
+        if (draw(4) == 0)
+            pool.remove(report.incarnation);
+        else
+            pool.addOrUpdate(Instant(1), report);
+        StepSpec step = makeStep(1, draw(5) * 1000);
+        step.perTask.memory = Mebibytes(draw(5) * 1000);
+        step.perTask.accelerators = Accelerators(draw(2));
+        step.isBestEffort = draw(3) == 0;
+        step.requiredLabel = draw(2) == 0 ? std::string() : labels[std::size_t(draw(3))];
+        const PoolId asked("pool" + std::to_string(draw(2)));
+        const bool isHeld
+                = std::any_of(pool.all().begin(), pool.all().end(), [&](const auto &entry) {
+                      return couldRunWhenIdle(entry.second, asked, step);
+                  });
+        CAPTURE(seed, round);
+        CHECK(pool.canHold(asked, step) == isHeld);
+    }
+}
