--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -1,5 +1,7 @@
 #include "tests/control/jobs/leader_bench.h"
 
+#include <catch2/catch.hpp>
+
 #include <algorithm>
 
 namespace gentiancross::tests {
@@ -195,12 +197,26 @@
     answer.call = renewal.call;
     answer.verdict = WorkerVerdict::Done;
     answer.clock = m_now.value();
+    answer.born = renewal.incarnation.born;
     answer.running = std::move(running);
     answer.ended = std::move(ended);
     m_leader.receive(m_now, answer, m_out);
     processDecisions();
 }
 
+void LeaderBench::confirm(const std::string &worker, std::int64_t born,
+                          std::vector<ReportedRun> running)
+{
+    // Polls of former incarnations stay unanswered.
+    while (const std::optional<CallWorker> poll = takeLeaseRenewal(worker)) {
+        if (poll->incarnation != makeIncarnation(worker, born))
+            continue;
+        answerWithRuns(*poll, std::move(running), {});
+        return;
+    }
+    FAIL("no lease renewal for " << worker << " born=" << born);
+}
+
 void LeaderBench::advance(std::int64_t milliseconds)
 {
     const Instant until = m_now + Milliseconds(milliseconds);
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -41,9 +41,14 @@
     /** Answers the oldest untaken lease renewal of the worker with its lists of runs. */
     void answerLeaseRenewal(const std::string &worker, std::vector<ReportedRun> running,
                             std::vector<ReportedCompletion> ended = {});
-    /** Answers this lease renewal with the lists of runs. */
+    /** Answers this lease renewal with the lists of runs, which state the birth of the incarnation
+     * that was asked. */
     void answerWithRuns(const CallWorker &renewal, std::vector<ReportedRun> running,
                         std::vector<ReportedCompletion> ended);
+    /** Answers the untaken lease renewal of this incarnation, which must exist, as that
+     * incarnation. */
+    void confirm(const std::string &worker, std::int64_t born,
+                 std::vector<ReportedRun> running = {});
     void advance(std::int64_t milliseconds);
     /** Lets the lease of \a silent lapse unanswered, and takes the next starts on \a other. */
     std::vector<CallWorker> startElsewhere(const std::string &silent, const std::string &other);
