--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -175,27 +175,20 @@
 {
     const WorkerIncarnation &incarnation = call.report.incarnation;
     const HeartbeatAccepted taken{m_options.heartbeatAddress};
-    std::vector<WorkerIncarnation> replaced;
-    for (const auto &[other, worker] : m_pool.all()) {
-        const bool isSamePlace = other.worker == incarnation.worker
-                || worker.report.address == call.report.address;
-        if (!isSamePlace || other == incarnation)
-            continue;
-        if (other.born > incarnation.born) {
-            answer(origin, taken); // A late heartbeat of an incarnation that is over.
-            return;
-        }
-        replaced.push_back(other);
+    PooledWorker *worker = m_pool.find(incarnation);
+    const bool isNew = worker == nullptr;
+    if (isNew && (hasLeft(incarnation) || m_pool.isSuperseded(call.report))) {
+        out.note(incarnation.worker.value(), "late heartbeat ignored: the incarnation is over");
+        answer(origin, taken);
+        return;
     }
-    if (!replaced.empty() && !heartbeatcheck::isPlausibleBirth(incarnation.born, wall)) {
+    const bool isContested = isNew && !m_pool.conflictsWith(call.report).empty();
+    if (isContested && !heartbeatcheck::isPlausibleBirth(incarnation.born, wall)) {
         refuse(origin, incarnation, "its birth is in the future", out);
         return;
     }
-    PooledWorker *worker = m_pool.find(incarnation);
-    const bool isNew = worker == nullptr;
-    if (isNew && hasLeft(incarnation)) {
-        out.note(incarnation.worker.value(), "late heartbeat ignored: worker has left the cell");
-        answer(origin, taken);
+    if (!isNew && !heartbeatcheck::isSamePlace(*worker, call.report)) {
+        refuse(origin, incarnation, "it changes the address, pool or data centre", out);
         return;
     }
     if (!isNew && call.sequence <= worker->lastSequence && worker->lastSequence != 0) {
@@ -217,7 +210,9 @@
         out.note(incarnation.worker.value(),
                  absl::StrCat(isNew ? "worker registered" : "worker updated",
                               ": address=", report.address, " draining=", report.isDraining));
-        apply(WorkerReported{report});
+        // A successor must not use what may be another writer's.
+        if (!isContested && (isNew || !worker->isClaim()))
+            apply(WorkerReported{report});
     }
     worker = &m_pool.addOrUpdate(now, report);
     if (changed || !worker->isAnnounced)
@@ -226,8 +221,8 @@
     worker->lastHeartbeat = now;
     worker->lastSequence = call.sequence;
     recordClock(*worker, now, call.clock, out);
-    for (const WorkerIncarnation &other : replaced)
-        m_runs.replaceIncarnation(now, other, incarnation, {}, out);
+    if (isContested)
+        m_runs.verifyClaim(now, *worker, out);
     answer(origin, taken);
 }
 
@@ -237,6 +232,7 @@
     out.add(LogLine{
             true, incarnation.worker.value(),
             absl::StrCat("heartbeat refused: ", reason, ": born=", incarnation.born.value())});
+    out.count(CellEvent::WorkerMessageRefused);
     answer(origin, CallRefused{Refusal::Malformed, reason, {}});
 }
 
@@ -259,6 +255,17 @@
     return std::find(left.begin(), left.end(), incarnation) != left.end();
 }
 
+bool CellLeader::isNameReused(const WorkerIncarnation &incarnation)
+{
+    const std::vector<WorkerIncarnation> &left = m_store.leftWorkers;
+    const auto isOther = [&incarnation](const WorkerIncarnation &other) {
+        return other.worker == incarnation.worker && other != incarnation;
+    };
+    return std::any_of(left.begin(), left.end(), isOther)
+            || std::any_of(m_pool.all().begin(), m_pool.all().end(),
+                           [&isOther](const auto &entry) { return isOther(entry.first); });
+}
+
 UnknownIncarnationsReport CellLeader::receive(Instant now, const HeartbeatsReport &seen,
                                               Outbox &out)
 {
@@ -291,10 +298,18 @@
     std::vector<WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : m_pool.all()) {
         // A worker leaves only after draining; otherwise the call is from an earlier incarnation.
-        if (incarnation.worker == call.worker && worker.report.isDraining)
+        if (incarnation.worker == call.worker && worker.report.isDraining && !worker.isClaim())
             ended.push_back(incarnation);
     }
     for (const WorkerIncarnation &incarnation : ended) {
+        // The call names no incarnation, so it may be a late one of the former. If it is not, the
+        // runs end with the lease.
+        if (isNameReused(incarnation)) {
+            out.add(LogLine{true, incarnation.worker.value(),
+                            "leave ignored: the name has been used before"});
+            out.count(CellEvent::WorkerMessageRefused);
+            continue;
+        }
         m_runs.endIncarnation(incarnation, "it has left the cell", out);
         apply(WorkerLeft{incarnation});
     }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -132,6 +132,8 @@
     static void recordClock(PooledWorker &worker, Instant at, std::int64_t clock, Outbox &out);
     /** True if this incarnation has announced its end. */
     [[nodiscard]] bool hasLeft(const WorkerIncarnation &incarnation) const;
+    /** True if another incarnation with the same name is known, or was until its end. */
+    [[nodiscard]] bool isNameReused(const WorkerIncarnation &incarnation);
     /** False while the occurrences in progress already have as many tasks as a job may have. */
     [[nodiscard]] static bool canBeginOccurrence(const Job &job);
     void beginDueOccurrences(Milliseconds wall);
--- a/control/jobs/heartbeat_check.cpp
+++ b/control/jobs/heartbeat_check.cpp
@@ -40,4 +40,12 @@
     return clock <= *worker.clock + elapsed + MaxClockLeadMs;
 }
 
+bool isSamePlace(const PooledWorker &worker, const WorkerReport &report)
+{
+    if (worker.report.address != report.address)
+        return false;
+    return !worker.isAnnounced
+            || (worker.report.pool == report.pool && worker.report.dataCentre == report.dataCentre);
+}
+
 } // namespace gentiancross::heartbeatcheck
--- a/control/jobs/heartbeat_check.h
+++ b/control/jobs/heartbeat_check.h
@@ -20,4 +20,8 @@
  * the clock is not known yet. */
 bool isPlausibleClock(const PooledWorker &worker, Instant at, std::int64_t clock);
 
+/** False if \a report contradicts what is known of the incarnation and can't change during its
+ * life. */
+bool isSamePlace(const PooledWorker &worker, const WorkerReport &report);
+
 } // namespace gentiancross::heartbeatcheck
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -77,15 +77,100 @@
 void RunTracker::endIncarnation(const WorkerIncarnation &incarnation, const char *reason,
                                 Outbox &out)
 {
-    PooledWorker *const worker = m_pool.find(incarnation);
+    removeIncarnation(incarnation, WorkerIncarnationEnded{incarnation}, reason, out);
+}
+
+void RunTracker::removeIncarnation(const WorkerIncarnation &incarnation, JobRecord record,
+                                   const char *reason, Outbox &out)
+{
+    const PooledWorker *const worker = m_pool.find(incarnation);
     if (worker == nullptr)
         return;
+    if (worker->isClaim()) {
+        // It has neither a record nor runs.
+        out.add(LogLine{true, incarnation.worker.value(),
+                        absl::StrCat("claim dropped: ", reason, ": born=", incarnation.born.value(),
+                                     " address=", worker->report.address)});
+        out.count(CellEvent::ClaimDropped);
+        m_pool.remove(incarnation);
+        return;
+    }
     out.note(incarnation.worker.value(), absl::StrCat("worker is gone: ", reason));
     endRuns(incarnation, RunEnding::Lost, out);
-    m_results.apply(WorkerIncarnationEnded{incarnation});
+    m_results.apply(std::move(record));
     m_pool.remove(incarnation);
 }
 
+void RunTracker::verifyClaim(Instant now, PooledWorker &worker, Outbox &out)
+{
+    const WorkerIncarnation &incarnation = worker.report.incarnation;
+    out.note(incarnation.worker.value(),
+             absl::StrCat("claim is verified: born=", incarnation.born.value(),
+                          " address=", worker.report.address));
+    worker.proof = IncarnationProof::None;
+    worker.isUnverified = true;
+    worker.nextLeaseRenewal = now;
+    // If the claim is true, orders for the former incarnation must not be executed after the poll.
+    m_pool.raiseRevision(worker);
+    for (const WorkerIncarnation &other : m_pool.conflictsWith(worker.report)) {
+        PooledWorker &contested = *m_pool.find(other);
+        if (other.worker == incarnation.worker && contested.report.address == worker.report.address)
+            contested.isContested = true;
+    }
+    sendDueOrders(now, worker, out);
+}
+
+bool RunTracker::checkClaim(Instant now, PooledWorker &claimant, const WorkerAnswer &answer,
+                            Outbox &out)
+{
+    const WorkerIncarnation incarnation = claimant.report.incarnation;
+    const bool isSuperseded = m_pool.isSuperseded(claimant.report);
+    if (!isSuperseded && answer.verdict == WorkerVerdict::Done && answer.born == incarnation.born) {
+        claimant.nextLeaseRenewal = now + RetryDelay;
+        confirmClaim(now, claimant, answer.running, out);
+        return true;
+    }
+    resumeContested(claimant);
+    if (isSuperseded || answer.verdict == WorkerVerdict::OtherIncarnation
+        || (answer.born.has_value() && *answer.born != incarnation.born)) {
+        endIncarnation(incarnation, "another incarnation has answered", out);
+        return false;
+    }
+    if (answer.verdict == WorkerVerdict::Fenced)
+        m_pool.raiseRevision(claimant);
+    claimant.nextLeaseRenewal = now + IdleRetryDelay;
+    return answer.verdict != WorkerVerdict::Done; // A list without a birth may be anybody's.
+}
+
+void RunTracker::resumeContested(const PooledWorker &claimant)
+{
+    for (const WorkerIncarnation &other : m_pool.conflictsWith(claimant.report)) {
+        PooledWorker &worker = *m_pool.find(other);
+        if (other.worker != claimant.report.incarnation.worker || worker.isClaim())
+            continue;
+        worker.isContested = false;
+        if (worker.revision <= claimant.revision)
+            m_pool.raiseRevision(worker);
+    }
+}
+
+void RunTracker::confirmClaim(Instant now, PooledWorker &claimant,
+                              const std::vector<ReportedRun> &running, Outbox &out)
+{
+    const WorkerIncarnation incarnation = claimant.report.incarnation;
+    out.note(incarnation.worker.value(),
+             absl::StrCat("claim confirmed: born=", incarnation.born.value(),
+                          " address=", claimant.report.address));
+    out.count(CellEvent::ClaimConfirmed);
+    m_pool.confirm(claimant);
+    m_results.apply(WorkerReported{claimant.report});
+    for (const WorkerIncarnation &other : m_pool.conflictsWith(claimant.report)) {
+        const bool isLaterClaim = m_pool.find(other)->isClaim() && other.born > incarnation.born;
+        if (!isLaterClaim)
+            replaceIncarnation(now, other, incarnation, running, out);
+    }
+}
+
 void RunTracker::replaceIncarnation(Instant now, const WorkerIncarnation &old,
                                     const WorkerIncarnation &next,
                                     const std::vector<ReportedRun> &running, Outbox &out)
@@ -93,6 +178,10 @@
     PooledWorker *const worker = m_pool.find(old);
     if (worker == nullptr)
         return;
+    if (worker->isClaim()) {
+        endIncarnation(old, "another incarnation has been confirmed", out);
+        return;
+    }
     std::set<JobTaskRef> listed;
     for (const ReportedRun &each : running)
         listed.insert(each.task);
@@ -104,12 +193,15 @@
             moved.emplace(task, run.run);
     }
     if (old.worker == next.worker) {
-        // Orders for the former incarnation that are still in flight must not reach the next one.
         out.count(CellEvent::WorkerRestarted);
         PooledWorker &successor = *m_pool.find(next);
-        m_pool.raiseRevision(successor);
-        successor.isUnverified = true;
-        successor.nextLeaseRenewal = now;
+        // Orders for the former incarnation that are still in flight must not reach the next one.
+        // It refuses them once it has executed the poll of its claim.
+        if (successor.revision <= worker->revision) {
+            m_pool.raiseRevision(successor);
+            successor.isUnverified = true;
+            successor.nextLeaseRenewal = now;
+        }
     }
     for (const auto &[task, number] : moved) {
         out.note(task.step.job.value(),
@@ -125,7 +217,8 @@
     }
     if (!moved.empty())
         WorkerPool::recordForeignLease(*m_pool.find(next), now);
-    endIncarnation(old, "replaced by another incarnation", out);
+    // Its heartbeats and leave calls that are still in transit must not count.
+    removeIncarnation(old, WorkerLeft{old}, "replaced by another incarnation", out);
     sendDueOrders(now, *m_pool.find(next), out);
 }
 
@@ -143,6 +236,10 @@
         return;
     if (call.kind == OrderKind::LeaseRenewal)
         worker->isLeaseRenewalInFlight = false;
+    if (worker->isClaim() && !checkClaim(now, *worker, answer, out))
+        return;
+    if (!worker->isClaim() && answer.born == call.incarnation.born)
+        m_pool.confirm(*worker);
     if (answer.born.has_value() && *answer.born < call.incarnation.born) {
         // The worker has restarted after its wall clock was set back. Its lists and end numbers are
         // not those of the incarnation that is tracked.
@@ -252,14 +349,24 @@
         return;
     }
     const WorkerIncarnation next{call.incarnation.worker, *answer.born};
+    WorkerReport report = m_pool.find(call.incarnation)->report;
+    PooledWorker *const claimant = m_pool.find(next);
+    if (claimant != nullptr && claimant->isClaim()) {
+        if (claimant->report.address == report.address) {
+            claimant->nextLeaseRenewal = now;
+            confirmClaim(now, *claimant, answer.running, out);
+            return;
+        }
+        endIncarnation(next, "it has answered at another address", out);
+    }
     if (m_pool.find(next) == nullptr) {
         // It gets no orders until its own heartbeat has reported its resources.
-        WorkerReport report = m_pool.find(call.incarnation)->report;
         report.incarnation = next;
         report.isDraining = false;
         m_results.apply(WorkerReported{report});
         m_pool.addOrUpdate(now, report).isAnnounced = false;
     }
+    m_pool.confirm(*m_pool.find(next));
     replaceIncarnation(now, call.incarnation, next, answer.running, out);
 }
 
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -42,14 +42,9 @@
                 Outbox &out);
     /** Removes an incarnation that has ended and has no successor, and ends its runs as lost. */
     void endIncarnation(const WorkerIncarnation &incarnation, const char *reason, Outbox &out);
-    /**
-     * Replaces \a old by \a next, which has the same worker id or address. If the ids are the same,
-     * orders that \a old may not have received can reach \a next; those runs are moved to \a next
-     * and stopped there. Precondition: \a next is in the pool.
-     */
-    void replaceIncarnation(Instant now, const WorkerIncarnation &old,
-                            const WorkerIncarnation &next, const std::vector<ReportedRun> &running,
-                            Outbox &out);
+    /** Makes \a worker a claim, and asks at its address which incarnation is there. Precondition:
+     * it is new, and its heartbeat has the name or the address of another incarnation. */
+    void verifyClaim(Instant now, PooledWorker &worker, Outbox &out);
     /** False if a run of the task is no longer needed. */
     [[nodiscard]] bool isWanted(const JobTaskRef &task) const;
 
@@ -85,6 +80,26 @@
     /** Applies the answer to \a call, which is no longer in flight. */
     void apply(Instant now, PooledWorker &worker, const Call &call, const WorkerAnswer &answer,
                Outbox &out);
+    /** Confirms or drops a claim by an answer from its address. True if the answer may be applied
+     * as the incarnation's own. */
+    bool checkClaim(Instant now, PooledWorker &claimant, const WorkerAnswer &answer, Outbox &out);
+    /** Puts \a claimant in the place of the incarnations that it conflicts with. \a running lists
+     * the runs that the worker has reported. */
+    void confirmClaim(Instant now, PooledWorker &claimant, const std::vector<ReportedRun> &running,
+                      Outbox &out);
+    /** Goes on with the incarnations that have the claim's name. They may have executed its poll,
+     * so their revision is raised above that of the claim. */
+    void resumeContested(const PooledWorker &claimant);
+    /**
+     * Replaces \a old by \a next, which has the same worker id or address. If the ids are the same,
+     * orders that \a old may not have received can reach \a next; those runs are moved to \a next
+     * and stopped there. Precondition: \a next is in the pool and is no claim.
+     */
+    void replaceIncarnation(Instant now, const WorkerIncarnation &old,
+                            const WorkerIncarnation &next, const std::vector<ReportedRun> &running,
+                            Outbox &out);
+    void removeIncarnation(const WorkerIncarnation &incarnation, JobRecord record,
+                           const char *reason, Outbox &out);
     void recordAnswer(Instant now, PooledWorker &worker, const Call &call,
                       const WorkerAnswer &answer, Outbox &out);
     void handleNotSent(Instant now, const Call &call, Outbox &out);
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -52,8 +52,10 @@
 {
     if (!m_areCapacitiesCurrent) {
         m_capacities.clear();
-        for (const auto &[incarnation, worker] : m_workers)
-            m_capacities.add(worker.report);
+        for (const auto &[incarnation, worker] : m_workers) {
+            if (!worker.isClaim())
+                m_capacities.add(worker.report);
+        }
         m_areCapacitiesCurrent = true;
     }
     return m_capacities.canHold(pool, step);
@@ -68,10 +70,40 @@
 PooledWorker *WorkerPool::findNewestIncarnation(const WorkerId &worker)
 {
     constexpr Milliseconds Never{std::numeric_limits<std::int64_t>::max()};
-    const auto after = m_workers.upper_bound({worker, Never});
-    if (after == m_workers.begin() || std::prev(after)->first.worker != worker)
-        return nullptr;
-    return &std::prev(after)->second;
+    auto after = m_workers.upper_bound({worker, Never});
+    while (after != m_workers.begin() && std::prev(after)->first.worker == worker) {
+        --after;
+        if (!after->second.isClaim())
+            return &after->second;
+    }
+    return nullptr;
+}
+
+std::vector<WorkerIncarnation> WorkerPool::conflictsWith(const WorkerReport &report) const
+{
+    std::vector<WorkerIncarnation> conflicts;
+    for (const auto &[incarnation, worker] : m_workers) {
+        const bool isSamePlace = incarnation.worker == report.incarnation.worker
+                || worker.report.address == report.address;
+        if (isSamePlace && incarnation != report.incarnation)
+            conflicts.push_back(incarnation);
+    }
+    return conflicts;
+}
+
+bool WorkerPool::isSuperseded(const WorkerReport &report) const
+{
+    const std::vector<WorkerIncarnation> conflicts = conflictsWith(report);
+    return std::any_of(conflicts.begin(), conflicts.end(), [&](const WorkerIncarnation &other) {
+        return other.born > report.incarnation.born
+                && m_workers.at(other).proof == IncarnationProof::Answer;
+    });
+}
+
+void WorkerPool::confirm(PooledWorker &worker)
+{
+    m_areCapacitiesCurrent = m_areCapacitiesCurrent && !worker.isClaim();
+    worker.proof = IncarnationProof::Answer;
 }
 
 void WorkerPool::open(PooledWorker &worker, const JobTaskRef &task, OpenRun run)
@@ -206,7 +238,7 @@
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
     return worker.isAnnounced && !worker.report.isDraining && !worker.isOnlyPolled()
-            && !worker.hasUnexpectedRun && worker.clock.has_value()
+            && !worker.hasUnexpectedRun && !worker.isContested && worker.clock.has_value()
             && now - worker.lastHeartbeat < MaxHeartbeatAge && now >= worker.avoidUntil;
 }
 
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -46,10 +46,21 @@
     std::string checkpoint;
 };
 
+/** What proves that an incarnation exists. */
+enum class IncarnationProof {
+    /** Its own heartbeats, which no other incarnation contests. */
+    Heartbeat,
+    /** Nothing yet: its heartbeat has the name or the address of another incarnation. */
+    None,
+    /** An answer of the worker itself that states its birth. */
+    Answer,
+};
+
 /** An incarnation of a worker, as tracked by the leader. */
 struct PooledWorker
 {
     WorkerReport report;
+    IncarnationProof proof = IncarnationProof::Heartbeat;
     Resources reserved;
     /** Cores that best-effort runs have requested. */
     MilliCores bestEffortCores;
@@ -92,6 +103,9 @@
     /** True while the next incarnation under the same name may be answering, or earlier orders may
      * still arrive at this one; cleared by a list of this incarnation. */
     bool isUnverified = false;
+    /** True while a claim with its name and address is asked for: if the claim is true, new runs
+     * would reach the next incarnation. */
+    bool isContested = false;
     /** Raised to invalidate orders that may still arrive. */
     FenceRevision revision;
     /** True if its newest list contains a run that is not tracked; the run uses capacity until it
@@ -108,7 +122,9 @@
 
     /** True if the worker is only asked for its lists: it gets no run and no lease, and no end is
      * acknowledged, since the next incarnation would take each of these as its own. */
-    [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified; }
+    [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified || isClaim(); }
+    /** True if it has only been claimed, by a heartbeat that may be another writer's. */
+    [[nodiscard]] bool isClaim() const { return proof == IncarnationProof::None; }
     /** Number of ends that the worker keeps listing until they are acknowledged. */
     [[nodiscard]] std::uint64_t unacknowledgedEndCount() const
     {
@@ -142,12 +158,19 @@
     /** Adds an incarnation or updates its report. */
     PooledWorker &addOrUpdate(Instant now, const WorkerReport &report);
     void remove(const WorkerIncarnation &incarnation);
-    /** True if a worker of \a pool could run a task of the step if it were idle and usable. Takes
-     * no longer with more workers, unless their reports have changed since the last call. */
+    /** True if a worker of \a pool could run a task of the step if it were idle and usable, claims
+     * left out. Takes no longer with more workers, unless their reports have changed since the last
+     * call. */
     [[nodiscard]] bool canHold(const PoolId &pool, const StepSpec &step);
     [[nodiscard]] PooledWorker *find(const WorkerIncarnation &incarnation);
-    /** The newest incarnation of the worker; null if there is none. */
+    /** The newest incarnation of the worker, claims left out; null if there is none. */
     [[nodiscard]] PooledWorker *findNewestIncarnation(const WorkerId &worker);
+    /** The other incarnations with the name or the address of \a report, claims included. */
+    [[nodiscard]] std::vector<WorkerIncarnation> conflictsWith(const WorkerReport &report) const;
+    /** True if a later incarnation with the name or the address of \a report has proved itself. */
+    [[nodiscard]] bool isSuperseded(const WorkerReport &report) const;
+    /** Records that the worker itself has stated the birth of this incarnation. */
+    void confirm(PooledWorker &worker);
     [[nodiscard]] std::map<WorkerIncarnation, PooledWorker> &all() { return m_workers; }
     /** The pace averaged over all workers. */
     [[nodiscard]] WorkerPace &averagePace() { return m_averagePace; }
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -232,7 +232,8 @@
     }
 };
 
-/** The worker announced its shutdown; messages sent earlier may still arrive and are ignored. */
+/** The incarnation has announced its shutdown, or its successor has answered; messages that it sent
+ * earlier may still arrive and are ignored. */
 struct WorkerLeft
 {
     WorkerIncarnation incarnation;
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -69,6 +69,12 @@
     RunMoved,
     /** An answer may come from another incarnation than the one that was called. */
     UnidentifiedAnswer,
+    /** A worker confirmed that it is the incarnation which a contested heartbeat had claimed. */
+    ClaimConfirmed,
+    /** An answer contradicted such a claim, or nobody confirmed it. */
+    ClaimDropped,
+    /** A heartbeat or a leave call could not be the worker's own and was refused or ignored. */
+    WorkerMessageRefused,
 };
 
 /** Time spans that are measured. */
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -76,6 +76,7 @@
     startJob(bench);
     bench.sendHeartbeat("w");
     bench.sendHeartbeat("v", 2);
+    bench.confirm("v", 2);
     CHECK(bench.takeStarts().empty());
     const std::vector<CallWorker> stops = bench.takeStops();
     REQUIRE(stops.size() == 1);
