--- a/tests/control/jobs/cell_model.cpp
+++ b/tests/control/jobs/cell_model.cpp
@@ -221,7 +221,9 @@
             = std::find_if(m_slots.begin(), m_slots.end(), [&](const WorkerSlot &candidate) {
                   return candidate.address == sent->call.address;
               });
-    if (slot->worker == nullptr || m_now < slot->disconnectedUntil)
+    const bool isReachable
+            = slot != m_slots.end() && slot->worker != nullptr && m_now >= slot->disconnectedUntil;
+    if (!isReachable)
         return;
     // Calls that have reached a process are lost when it ends.
     const std::weak_ptr<ModelWorker> incarnation = slot->worker;
@@ -366,13 +368,41 @@
         const std::shared_ptr<ModelWorker> worker = incarnation.lock();
         if (worker == nullptr || worker != slot.worker)
             return;
-        call(WorkerLeave{worker->report().incarnation.worker});
+        const WorkerLeave leave{worker->report().incarnation.worker};
+        const bool isLate = m_plan.lateLeaveRatio > 0 && m_random.chance(m_plan.lateLeaveRatio);
+        if (isLate)
+            schedule(m_random.between(500, 8000), [this, leave] { call(leave); });
+        else
+            call(leave);
         worker->recordDeath();
         slot.worker.reset();
-        schedule(m_random.between(10, 4000), [=, this, &slot] { startWorker(slot, false); });
+        schedule(m_random.between(10, 4000), [=, this, &slot] { startWorker(slot, isLate); });
     });
 }
 
+void CellModel::sendForeignHeartbeat()
+{
+    const WorkerSlot &slot = randomSlot();
+    if (slot.worker == nullptr)
+        return;
+    constexpr std::int64_t MaxBirthDifferenceMs = 5000;
+    WorkerHeartbeat heartbeat{slot.worker->report(), m_random.between(0, 100'000),
+                              std::uint64_t(m_random.between(1, 30))};
+    WorkerReport &report = heartbeat.report;
+    const bool hasName = m_random.chance(0.7);
+    if (!hasName)
+        report.incarnation.worker = WorkerId("agent");
+    if (hasName && m_random.chance(0.5))
+        report.address = "elsewhere";
+    report.incarnation.born
+            += Milliseconds(m_random.between(-MaxBirthDifferenceMs, MaxBirthDifferenceMs));
+    if (m_random.chance(0.5))
+        report.pool = PoolId("metrics-agent");
+    addTrace("foreign heartbeat: name=" + report.incarnation.worker.value() + " address="
+             + report.address + " born=" + std::to_string(report.incarnation.born.value()));
+    call(heartbeat);
+}
+
 CellModel::WorkerSlot &CellModel::randomSlot()
 {
     return m_slots[std::size_t(m_random.between(0, std::int64_t(m_slots.size()) - 1))];
@@ -488,6 +518,7 @@
     });
     repeatWhileFaulty(m_plan.leaderChangeIntervalMs, [this] { changeLeader(); });
     repeatWhileFaulty(m_plan.drainIntervalMs, [this] { drain(randomSlot()); });
+    repeatWhileFaulty(m_plan.foreignHeartbeatIntervalMs, [this] { sendForeignHeartbeat(); });
     const Instant end = m_startedAt + Milliseconds(m_plan.durationMs);
     repeat(m_plan.jobIntervalMs / 2, m_plan.jobIntervalMs, [this, end] {
         const bool isBusy
--- a/tests/control/jobs/cell_model.h
+++ b/tests/control/jobs/cell_model.h
@@ -43,6 +43,11 @@
     std::int64_t freezeIntervalMs = 0;
     std::int64_t leaderChangeIntervalMs = 0;
     std::int64_t drainIntervalMs = 0;
+    /** Heartbeats of another writer, with the name or the address of a healthy worker. */
+    std::int64_t foreignHeartbeatIntervalMs = 0;
+    /** Share of workers that leave whose leave call arrives seconds later, after they have started
+     * again under their name. */
+    double lateLeaveRatio = 0;
 };
 
 /**
@@ -129,6 +134,7 @@
     void sendHeartbeat(WorkerSlot &slot);
     void crash(WorkerSlot &slot);
     void drain(WorkerSlot &slot);
+    void sendForeignHeartbeat();
     WorkerSlot &randomSlot();
 
     void call(const CellCall &call);
--- a/tests/control/jobs/cell_model_test.cpp
+++ b/tests/control/jobs/cell_model_test.cpp
@@ -126,6 +126,31 @@
     check(plan);
 }
 
+// Guards against runs that count as lost because of a message that is not their worker's own.
+TEST_CASE("Heartbeats of another writer and late leave calls cause no duplicate runs", "[model]")
+{
+    ModelPlan plan;
+    plan.foreignHeartbeatIntervalMs = 700;
+    plan.drainIntervalMs = 2500;
+    plan.lateLeaveRatio = 0.5;
+    plan.crashIntervalMs = 8000;
+    check(plan);
+}
+
+TEST_CASE("Heartbeats of another writer beside other faults cause no duplicate runs", "[model]")
+{
+    ModelPlan plan;
+    plan.foreignHeartbeatIntervalMs = 1500;
+    plan.lostAnswerRatio = 0.02;
+    plan.lateCallRatio = 0.02;
+    plan.disconnectIntervalMs = 8000;
+    plan.crashIntervalMs = 11'000;
+    plan.leaderChangeIntervalMs = 7000;
+    plan.drainIntervalMs = 10'000;
+    plan.lateLeaveRatio = 0.3;
+    check(plan);
+}
+
 TEST_CASE("Short tasks complete on workers that were disconnected while idle", "[model]")
 {
     ModelPlan plan;
