Accept a repeated submission whatever has become of its key

What callers saw: 401 to the only attempt of a job that ran (rule REFUSED). The leader had stored and started it, its answer was lost, and the key was withdrawn before the entry host sent the call again. A removed queue gave 404.

Cause: CallHandler looked up queue and key in the newest configuration before it looked whether the job was stored.

Change: a stored job keeps the call that submitted it (host, path, key), in the log, so that the next leader has it, too. A submission that equals it is accepted before anything else is checked. A mark on what an entry host sends again would miss the client's own repetition over another host, and would let a call without a key learn whether a job exists; former keys of each team grow with each change. Reads and cancels need a valid key as before.

Records of jobs have new fields: journals of former versions can't be read.

The whole unit tests were not run yet.

--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -43,6 +43,8 @@
     /** Both must outlive this object. */
     CallHandler(const JobStoreData &store, CallDecisionHandler &decisions);
 
+    /** A repeated submission is accepted even if its key or queue is gone by now; only the caller
+     * that submitted the job can repeat it, so this shows nobody else that the job exists. */
     void handle(Milliseconds wall, const CallOrigin &origin, const JobCall &call, Outbox &out);
     void handle(const CallOrigin &origin, const PutConfiguration &call, Outbox &out);
     void handle(const CallOrigin &origin, const GetConfiguration &call);
@@ -50,6 +52,8 @@
     void updateWaiting(const JobId &id, const Job &job);
 
 private:
+    /** True if the same call has already submitted a job that is stored. */
+    [[nodiscard]] bool isRepeatedSubmission(const JobCall &call) const;
     void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
     void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -34,6 +34,7 @@
             return;
         Job &job = found->second;
         job.terms = record.terms;
+        job.submission = record.submission;
         job.spec = record.spec;
         job.acceptedAt = record.acceptedAt;
         if (job.spec.repeats == 0)
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -62,10 +62,28 @@
     }
 };
 
+/** The call with which a job was submitted; a repetition of the call equals it. */
+struct JobSubmission
+{
+    std::string host;
+    std::string path;
+    /** Empty for a submission without a key, which public queues accept. */
+    std::optional<ApiKey> key;
+
+    bool operator==(const JobSubmission &) const = default;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.host, self.path, self.key);
+    }
+};
+
 /** A job and its progress. */
 struct Job
 {
     JobTerms terms;
+    JobSubmission submission;
     JobSpec spec;
     /** When it was accepted, by the wall clock of the leader at that time. */
     Milliseconds acceptedAt;
@@ -78,8 +96,8 @@
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.terms, self.spec, self.acceptedAt, self.state, self.occurrences,
-                        self.occurrencesBegun, self.occurrencesDone);
+        return std::tie(self.terms, self.submission, self.spec, self.acceptedAt, self.state,
+                        self.occurrences, self.occurrencesBegun, self.occurrencesDone);
     }
 
     [[nodiscard]] bool isOver() const
@@ -120,13 +138,14 @@
 {
     JobId id;
     JobTerms terms;
+    JobSubmission submission;
     JobSpec spec;
     Milliseconds acceptedAt;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.id, self.terms, self.spec, self.acceptedAt);
+        return std::tie(self.id, self.terms, self.submission, self.spec, self.acceptedAt);
     }
 };
 
--- a/core/record_size.cpp
+++ b/core/record_size.cpp
@@ -75,9 +75,13 @@
 
 std::size_t bytesOf(const JobRecord &record)
 {
-    if (const auto *accepted = std::get_if<JobAccepted>(&record))
-        return PlainRecordBytes + accepted->spec.payload.size()
-                + StepBytes * accepted->spec.steps.size();
+    if (const auto *accepted = std::get_if<JobAccepted>(&record)) {
+        const JobSubmission &submission = accepted->submission;
+        const std::size_t keyBytes
+                = submission.key.has_value() ? submission.key->value().size() : 0;
+        return PlainRecordBytes + submission.host.size() + submission.path.size() + keyBytes
+                + accepted->spec.payload.size() + StepBytes * accepted->spec.steps.size();
+    }
     if (const auto *document = std::get_if<DocumentAccepted>(&record))
         return PlainRecordBytes + DocumentCopies * document->document.source.size();
     return PlainRecordBytes;
--- /dev/null
+++ b/tests/control/jobs/call_handler_test.cpp
@@ -0,0 +1,96 @@
+#include "tests/control/jobs/leader_bench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+const std::string jobA = "00000000000000aa";
+const std::string jobB = "00000000000000bb";
+const std::string keyless;
+
+bool isDone(const CallAnswer &answer)
+{
+    return std::holds_alternative<CallDone>(answer);
+}
+
+std::optional<Refusal> refusalOf(const CallAnswer &answer)
+{
+    const auto *const refused = std::get_if<CallRefused>(&answer);
+    return refused == nullptr ? std::nullopt : std::optional<Refusal>(refused->refusal);
+}
+
+CallAnswer call(LeaderBench &bench, JobVerb verb, const std::string &key,
+                const std::string &path = "/q/" + jobA)
+{
+    JobSpec spec;
+    spec.steps = {makeStep(1, 100)};
+    const auto given = key.empty() ? std::nullopt : std::optional<ApiKey>(ApiKey(key));
+    return bench.call(JobCall{verb, "h", path, given, spec, {}});
+}
+
+/** Replaces the key of team alpha by "new-key". */
+ConfigDocument withReplacedKey()
+{
+    ConfigDocument document = makeDocument();
+    document.version = DocumentVersion(2);
+    document.teams[0].keys = {ApiKey("new-key")};
+    return document;
+}
+
+} // namespace
+
+// Guards against a caller being told that its key is unknown while its job runs: the answer to the
+// entry host was lost, and the key was withdrawn before the entry host's repetition.
+TEST_CASE("A repeated submission is accepted after its key was withdrawn")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    REQUIRE(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    bench.configure(withReplacedKey());
+    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    CHECK(bench.takeStarts().size() == 1);
+    // The next leader knows it from the log.
+    LeaderBench successor(bench.leader().store());
+    CHECK(isDone(call(successor, JobVerb::Submit, "key-of-alpha")));
+    CHECK(bench.leader().store().jobs.size() == 1);
+}
+
+// Guards against 404 for a job that runs, after its queue was removed or replaced.
+TEST_CASE("A repeated submission is accepted after its queue was removed or replaced")
+{
+    LeaderBench bench;
+    bench.configure();
+    REQUIRE(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    ConfigDocument document = withReplacedKey();
+    document.queues[0].queue = QueueId("renamed");
+    bench.configure(document);
+    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    document.version = DocumentVersion(3);
+    document.queues.clear();
+    bench.configure(document);
+    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    CHECK(refusalOf(call(bench, JobVerb::Submit, "key-of-alpha", "/q/" + jobB))
+          == Refusal::NoSuchQueue);
+}
+
+// Guards against a withdrawn or guessed key showing more than the repeated call itself had stored.
+TEST_CASE("A withdrawn key reads and cancels nothing, and other keys don't find the job")
+{
+    LeaderBench bench;
+    bench.configure();
+    REQUIRE(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    bench.configure(withReplacedKey());
+    CHECK(refusalOf(call(bench, JobVerb::Status, "key-of-alpha")) == Refusal::UnknownKey);
+    CHECK(refusalOf(call(bench, JobVerb::Cancel, "key-of-alpha")) == Refusal::UnknownKey);
+    CHECK(refusalOf(call(bench, JobVerb::Submit, "key-of-alpha", "/q/" + jobB))
+          == Refusal::UnknownKey);
+    CHECK(refusalOf(call(bench, JobVerb::Submit, keyless)) == Refusal::UnknownKey);
+    CHECK(refusalOf(call(bench, JobVerb::Submit, "guessed")) == Refusal::UnknownKey);
+    CHECK(refusalOf(call(bench, JobVerb::Submit, "key-of-alpha", "/x/" + jobA))
+          == Refusal::NoSuchQueue);
+    CHECK(bench.leader().store().jobs.size() == 1);
+}
