--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -21,8 +21,12 @@
 
     void operator()(const DocumentAccepted &record)
     {
-        if (!m_data.document.has_value() || m_data.document->version < record.document.version)
-            m_data.document = record.document;
+        if (!record.document.has_value())
+            return;
+        if (m_data.document.has_value() && m_data.document->version >= record.document->version)
+            return;
+        m_data.document.forgetText();
+        m_data.document = record.document;
     }
 
     void operator()(const JobAccepted &record)
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -52,7 +52,7 @@
 struct PutConfiguration
 {
     /** Empty if it could not be parsed completely. */
-    std::optional<ConfigDocument> document;
+    SharedDocument document;
     std::string defect;
 
     template <typename Self>
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -91,7 +91,7 @@
 /** The state that a cell's keepers replicate: configuration, jobs, workers. */
 struct JobStoreData
 {
-    std::optional<ConfigDocument> document;
+    SharedDocument document;
     std::map<JobId, Job> jobs;
     std::map<WorkerIncarnation, WorkerReport> workers;
     /** The most recent incarnations that have left, oldest first. */
@@ -107,7 +107,8 @@
 /** A configuration was accepted; it is in force if its version is the highest. */
 struct DocumentAccepted
 {
-    ConfigDocument document;
+    /** A record without a document changes nothing. */
+    SharedDocument document;
 
     template <typename Self>
     static auto fields(Self &self)
--- a/core/jobs.h
+++ b/core/jobs.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/shared_value.h"
 #include "core/units.h"
 
 #include <cstdint>
@@ -243,6 +244,10 @@
     }
 };
 
+/** A document has thousands of queues at times; the log, the copies of the job store and the
+ * messages in flight share it. */
+using SharedDocument = SharedValue<ConfigDocument>;
+
 /** A worker's description of itself, sent with its heartbeats. */
 struct WorkerReport
 {
--- a/core/record_size.cpp
+++ b/core/record_size.cpp
@@ -78,8 +78,9 @@
     if (const auto *accepted = std::get_if<JobAccepted>(&record))
         return PlainRecordBytes + accepted->spec.payload.size()
                 + StepBytes * accepted->spec.steps.size();
-    if (const auto *document = std::get_if<DocumentAccepted>(&record))
-        return PlainRecordBytes + DocumentCopies * document->document.source.size();
+    const auto *accepted = std::get_if<DocumentAccepted>(&record);
+    if (accepted != nullptr && accepted->document.has_value())
+        return PlainRecordBytes + DocumentCopies * accepted->document->source.size();
     return PlainRecordBytes;
 }
 
--- a/drivers/codec.h
+++ b/drivers/codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/blob.h"
+#include "core/shared_value.h"
 
 #include <json/json.h>
 #include <sodium.h>
@@ -45,6 +46,9 @@
 template <typename T>
 void write(std::string &text, const T &value);
 
+template <typename T>
+std::string encode(const T &value);
+
 template <typename T>
 bool decode(const Json::Value &json, T &value);
 
@@ -94,6 +98,13 @@
 struct IsShared<std::shared_ptr<const T>> : std::true_type
 {};
 
+template <typename T>
+struct IsSharedValue : std::false_type
+{};
+template <typename T>
+struct IsSharedValue<SharedValue<T>> : std::true_type
+{};
+
 inline void writeQuoted(std::string &text, const std::string &value)
 {
     constexpr char HexDigits[] = "0123456789abcdef";
@@ -283,6 +294,12 @@
         text += std::to_string(static_cast<int>(value));
     } else if constexpr (std::is_integral_v<T>) {
         text += std::to_string(value);
+    } else if constexpr (detail::IsSharedValue<T>::value) {
+        using Held = typename T::ValueType;
+        if (value.has_value())
+            text += *value.textBy([](const Held &held) { return encode(held); });
+        else
+            text += "null";
     } else if constexpr (detail::IsOptional<T>::value) {
         if (value.has_value())
             write(text, *value);
@@ -344,6 +361,14 @@
             return false;
         value = std::move(held);
         return true;
+    } else if constexpr (detail::IsSharedValue<T>::value) {
+        if (json.isNull())
+            return true;
+        typename T::ValueType held;
+        if (!decode(json, held))
+            return false;
+        value = T(std::move(held));
+        return true;
     } else if constexpr (detail::IsOptional<T>::value) {
         if (json.isNull())
             return true;
--- a/tests/control/jobs/cell_root_test.cpp
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -267,9 +267,9 @@
     const ExchangeId get = cell.group.call("k3", GetConfiguration{});
     cell.group.wait(get, 1000);
     CHECK(sourceOf(cell.group.answer(get)) == "version 8");
-    PutConfiguration bad = makePut(9);
-    bad.document->queues[0].timeout = Milliseconds(0);
-    const ExchangeId refused = cell.group.call("k3", bad);
+    ConfigDocument bad = *makePut(9).document;
+    bad.queues[0].timeout = Milliseconds(0);
+    const ExchangeId refused = cell.group.call("k3", PutConfiguration{bad, {}});
     cell.group.wait(refused, 1000);
     CHECK_FALSE(isDone(cell.group.answer(refused)));
 }
