Decode messages and records from their text without a tree

Cause: a message or record was parsed into a tree of JSON values with a node for each field, which for a configuration of thousands of routes took most of the time between hosts, and memory for each node.

Change: codec::decodeText reads the same types straight from the text, by the same rules for missing and additional fields. A batch with a malformed message drops just this message, one that is malformed as a whole is dropped whole, as before.

--- a/drivers/journal_file.cpp
+++ b/drivers/journal_file.cpp
@@ -1,8 +1,8 @@
 #include "drivers/journal_file.h"
 
 #include "core/error.h"
-#include "drivers/codec.h"
 #include "drivers/random.h"
+#include "drivers/text_codec.h"
 
 #include <boost/crc.hpp>
 
@@ -48,12 +48,6 @@
     return number;
 }
 
-bool decodeRecord(const std::string &text, JournalRecord &record)
-{
-    Json::Value json;
-    return codec::parseJson(text, json) && codec::decode(json, record);
-}
-
 /** Returns true if a complete, undamaged record starts anywhere after \a offset. */
 bool hasRecordAfter(const std::string &bytes, std::size_t offset)
 {
@@ -105,7 +99,8 @@
         const bool isIntact = isComplete
                 && checksum(bytes.data() + offset + HeaderBytes, length)
                         == readUint32(bytes, offset + LengthBytes)
-                && decodeRecord(bytes.substr(offset + HeaderBytes, length), record);
+                && codec::decodeText(std::string_view(bytes).substr(offset + HeaderBytes, length),
+                                     record);
         if (!isIntact) {
             if (hasRecordAfter(bytes, offset))
                 return makeError(absl::StatusCode::kDataLoss, Step::Journal, "",
--- a/servers/peer_link.cpp
+++ b/servers/peer_link.cpp
@@ -1,8 +1,8 @@
 #include "servers/peer_link.h"
 
 #include "core/record_size.h"
-#include "drivers/codec.h"
 #include "drivers/log.h"
+#include "drivers/text_codec.h"
 
 #include <absl/strings/numbers.h>
 
@@ -193,27 +193,39 @@
     return m_dispatcher.dispatch(request);
 }
 
-void PeerLink::receive(const std::string &text)
+bool PeerLink::decodeBatch(std::string_view text, std::vector<PeerMessageReceived> &events)
 {
-    Json::Value batch;
+    JsonCursor cursor(text);
     HostId from;
-    if (!codec::parseJson(text, batch) || !batch.isArray() || batch.size() < 2
-        || !codec::decode(batch[0], from)) {
-        logWarning("peer link", "call dropped: it could not be decoded");
-        return;
-    }
-    for (Json::ArrayIndex index = 1; index < batch.size(); ++index) {
+    if (!cursor.take('[') || !codec::read(cursor, from) || !cursor.isAt(','))
+        return false;
+    while (cursor.take(',')) {
+        const std::size_t begin = cursor.position();
         PeerMessageReceived event;
         event.from = from;
-        const Json::Value &json = batch[index];
-        const bool isValid = json.isArray() && json.size() == 2
-                && codec::decode(json[0], event.logicalTime)
-                && codec::decode(json[1], event.message);
-        if (isValid)
-            m_events.post(std::move(event));
-        else
-            logWarning(from.value(), "peer link: message dropped: it could not be decoded");
+        const bool isValid = cursor.take('[') && codec::read(cursor, event.logicalTime)
+                && cursor.take(',') && codec::read(cursor, event.message) && cursor.take(']');
+        if (isValid) {
+            events.push_back(std::move(event));
+            continue;
+        }
+        cursor.returnTo(begin);
+        if (!cursor.skipValue())
+            return false;
+        logWarning(from.value(), "peer link: message dropped: it could not be decoded");
+    }
+    return cursor.take(']') && cursor.isAtEnd();
+}
+
+void PeerLink::receive(const std::string &text)
+{
+    std::vector<PeerMessageReceived> events;
+    if (!decodeBatch(text, events)) {
+        logWarning("peer link", "call dropped: it could not be decoded");
+        return;
     }
+    for (PeerMessageReceived &event : events)
+        m_events.post(std::move(event));
 }
 
 } // namespace gentiancross
--- a/servers/peer_link.h
+++ b/servers/peer_link.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace gentiancross {
 
@@ -50,6 +52,8 @@
 
     Sender &addSender(const HostId &peer, const std::string &address);
     void receive(const std::string &text);
+    /** Returns false if the batch as a whole is malformed. Drops messages that can't be decoded. */
+    static bool decodeBatch(std::string_view text, std::vector<PeerMessageReceived> &events);
 
     PeerAddresses m_addresses;
     EventSink &m_events;
