Answer unchanged configurations without the leader, index the queues

Cause: a repeated, an older or an invalid configuration went through its keeper to the leader whole, and each call of a caller looked at each queue of the document.

Change: the keeper that takes a configuration in answers one that is invalid or not newer than what is committed; versions only rise, so its own commit is enough. Validation compares hosts and prefixes by hash, without copies. QueueIndex finds the queue of a call by host and prefix.

--- a/control/jobs/call_handler.cpp
+++ b/control/jobs/call_handler.cpp
@@ -67,7 +67,8 @@
         return;
     }
     const ConfigDocument &document = *m_store.document;
-    const std::optional<QueueMatch> match = configrules::findQueue(document, call.host, call.path);
+    m_queues.update(m_store.document);
+    const std::optional<QueueMatch> match = m_queues.find(call.host, call.path);
     if (!match.has_value()) {
         refuse(origin, Refusal::NoSuchQueue, "no queue has this address");
         return;
@@ -149,21 +150,19 @@
 
 void CallHandler::handle(const CallOrigin &origin, const PutConfiguration &call, Outbox &out)
 {
-    const std::optional<std::string> defect
-            = call.document.has_value() ? configrules::findDefect(*call.document) : call.defect;
-    if (defect.has_value()) {
-        out.note("configuration", "refused: " + *defect);
-        refuse(origin, Refusal::Malformed, *defect);
+    const std::optional<CallAnswer> known = configrules::answerUnchanged(call, m_store.document);
+    if (known.has_value()) {
+        if (const auto *refused = std::get_if<CallRefused>(&*known))
+            out.note("configuration", "refused: " + refused->reason);
+        m_decisions.answer(origin, *known);
         return;
     }
     const DocumentVersion held
             = m_store.document.has_value() ? m_store.document->version : DocumentVersion();
-    if (!m_store.document.has_value() || call.document->version > held) {
-        out.note("configuration",
-                 absl::StrCat("accepted: version=", call.document->version.value(),
-                              " replaces=", held.value()));
-        m_decisions.apply(DocumentAccepted{*call.document});
-    }
+    out.note("configuration",
+             absl::StrCat("accepted: version=", call.document->version.value(),
+                          " replaces=", held.value()));
+    m_decisions.apply(DocumentAccepted{call.document});
     m_decisions.answer(origin, CallDone{});
 }
 
--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/jobs/queue_index.h"
 #include "control/outbox.h"
 #include "core/job_calls.h"
 
@@ -58,6 +59,7 @@
 
     const JobStoreData &m_store;
     CallDecisionHandler &m_decisions;
+    QueueIndex m_queues;
     /** Accepted jobs of which no task has started, by queue. */
     std::map<QueueId, std::set<JobId>> m_waiting;
 };
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -1,5 +1,6 @@
 #include "control/jobs/cell_root.h"
 
+#include "control/jobs/config_rules.h"
 #include "core/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -205,6 +206,8 @@
 void CellRoot::handle(const CellCallReceived &event)
 {
     if (m_leader == nullptr) {
+        if (answerFromLog(event))
+            return;
         const auto *heartbeat = std::get_if<WorkerHeartbeat>(&event.call);
         const bool isAbsorbed = heartbeat != nullptr && m_relay.hasLeader(m_now)
                 && m_heartbeats.absorb(m_now, *heartbeat);
@@ -217,6 +220,21 @@
     m_leader->receive(m_now, m_wall, {m_options.directory.self, event.exchange}, event.call, m_out);
 }
 
+bool CellRoot::answerFromLog(const CellCallReceived &event)
+{
+    const auto *const put = std::get_if<PutConfiguration>(&event.call);
+    if (put == nullptr || !m_raft.has_value())
+        return false;
+    std::optional<CallAnswer> answer
+            = configrules::answerUnchanged(*put, m_raft->state().data().jobs.document);
+    if (!answer.has_value())
+        return false;
+    if (const auto *refused = std::get_if<CallRefused>(&*answer))
+        m_out.note("configuration", "refused: " + refused->reason);
+    m_out.add(AnswerCall{event.exchange, std::move(*answer)});
+    return true;
+}
+
 void CellRoot::handle(const WorkerAnswer &event)
 {
     HostMetrics::recordWorkerCall(event.cost, m_out);
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -90,6 +90,9 @@
     void handlePeer(const HostId &, const Message &)
     {}
 
+    /** Answers a configuration that is invalid or not newer than the committed one, so that it
+     * costs the leader nothing. Returns false for other calls. */
+    bool answerFromLog(const CellCallReceived &event);
     void addKeeper(const HostId &host);
     void continueShutdown();
     void beginToLead();
--- a/control/jobs/config_rules.cpp
+++ b/control/jobs/config_rules.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace gentiancross::configrules {
 
@@ -11,12 +13,12 @@
     std::set<PoolId> pools;
     for (const PoolConfig &pool : document.pools)
         pools.insert(pool.pool);
-    std::set<std::pair<std::string, std::string>> places;
+    std::unordered_map<std::string_view, std::unordered_set<std::string_view>> places;
     for (const QueueConfig &queue : document.queues) {
         if (!pools.contains(queue.pool))
             return "queue \"" + queue.queue.value() + "\" names the unknown pool \""
                     + queue.pool.value() + '"';
-        if (!places.insert({queue.host, queue.pathPrefix}).second)
+        if (!places[queue.host].insert(queue.pathPrefix).second)
             return "queue \"" + queue.queue.value() + "\" has the address of another queue";
         if (queue.timeout <= Milliseconds(0))
             return "queue \"" + queue.queue.value() + "\" has no timeout";
@@ -31,6 +33,17 @@
     return std::nullopt;
 }
 
+std::optional<CallAnswer> answerUnchanged(const PutConfiguration &call, const SharedDocument &held)
+{
+    std::optional<std::string> defect
+            = call.document.has_value() ? findDefect(*call.document) : call.defect;
+    if (defect.has_value())
+        return CallRefused{Refusal::Malformed, std::move(*defect), {}};
+    if (held.has_value() && call.document->version <= held->version)
+        return CallDone{};
+    return std::nullopt;
+}
+
 std::optional<QueueMatch> findQueue(const ConfigDocument &document, const std::string &host,
                                     const std::string &path)
 {
--- a/control/jobs/config_rules.h
+++ b/control/jobs/config_rules.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/jobs.h"
+#include "core/job_calls.h"
 
 #include <optional>
 #include <string>
@@ -20,6 +20,11 @@
 /** The reason why the document is invalid; nullopt if it is valid. */
 std::optional<std::string> findDefect(const ConfigDocument &document);
 
+/** The answer to a call that leaves the configuration as it is, since its document is invalid or
+ * not newer than \a held. Returns nullopt if the document is to be accepted. Any keeper may give
+ * this answer, since the version that is in force only rises. */
+std::optional<CallAnswer> answerUnchanged(const PutConfiguration &call, const SharedDocument &held);
+
 /** The queue of \a host with the longest prefix of \a path; nullopt if there is none. */
 std::optional<QueueMatch> findQueue(const ConfigDocument &document, const std::string &host,
                                     const std::string &path);
--- a/tests/control/jobs/cell_root_test.cpp
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -274,6 +274,69 @@
     CHECK_FALSE(isDone(cell.group.answer(refused)));
 }
 
+TEST_CASE("A follower answers a repeated or an invalid configuration without its leader")
+{
+    // Guards against a leader that is late with leases since each repeated configuration of
+    // thousands of routes reaches it through a follower.
+    Cell cell;
+    const std::optional<std::string> leader = cell.group.leader();
+    REQUIRE(leader.has_value());
+    const std::string follower = *leader == "k1" ? "k2" : "k1";
+    int relayed = 0;
+    cell.group.setTamper([&relayed](const PeerMessage &message) {
+        const auto *const call = std::get_if<RelayCallRequest>(&message);
+        if (call != nullptr && std::holds_alternative<PutConfiguration>(call->call))
+            ++relayed;
+        return std::optional<PeerMessage>();
+    });
+    const ExchangeId repeated = cell.group.call(follower, makePut(1));
+    ConfigDocument bad = *makePut(9).document;
+    bad.queues[0].timeout = Milliseconds(0);
+    const ExchangeId refused = cell.group.call(follower, PutConfiguration{bad, {}});
+    cell.group.wait(repeated, 1000);
+    cell.group.wait(refused, 1000);
+    CHECK(isDone(cell.group.answer(repeated)));
+    REQUIRE(cell.group.answer(refused) != nullptr);
+    CHECK(std::holds_alternative<CallRefused>(*cell.group.answer(refused)));
+    CHECK(relayed == 0);
+    const ExchangeId newer = cell.group.call(follower, makePut(2));
+    cell.group.wait(newer, 1000);
+    CHECK(isDone(cell.group.answer(newer)));
+    CHECK(relayed == 1);
+}
+
+TEST_CASE("All messages that carry a configuration share it")
+{
+    // Guards against a leader that is late with leases since its control thread copies
+    // configurations of thousands of routes.
+    Cell cell;
+    const std::optional<std::string> leader = cell.group.leader();
+    REQUIRE(leader.has_value());
+    const PutConfiguration put = makePut(2);
+    int shared = 0;
+    int copied = 0;
+    cell.group.setTamper([&](const PeerMessage &message) {
+        const auto *const append = std::get_if<AppendRequest>(&message);
+        for (const SharedEntry &entry :
+             append == nullptr ? std::vector<SharedEntry>() : append->entries) {
+            const auto *const command = std::get_if<ReplicatedCommand>(&entry->payload);
+            const auto *const changes
+                    = command == nullptr ? nullptr : std::get_if<JobChanges>(command);
+            for (const JobRecord &record :
+                 changes == nullptr ? std::vector<JobRecord>() : changes->records) {
+                if (const auto *const accepted = std::get_if<DocumentAccepted>(&record))
+                    ++(accepted->document.isSame(put.document) ? shared : copied);
+            }
+        }
+        return std::optional<PeerMessage>();
+    });
+    const ExchangeId exchange = cell.group.call(*leader, put);
+    cell.group.wait(exchange, 1000);
+    CHECK(isDone(cell.group.answer(exchange)));
+    CHECK(shared >= 2);
+    CHECK(copied == 0);
+}
+
 TEST_CASE("A follower gets one message for an entry, a learner one for many")
 {
     // Guards against needless traffic under steady starts with several keepers, where commit-only
