Append the submission to the fields of job records

The field stood in the middle of the records of jobs, so journals of former versions could not be read. The codec lets a shorter record keep the defaults of the fields that it lacks, which here equal no call.

--- a/core/job_records.h
+++ b/core/job_records.h
@@ -83,7 +83,6 @@
 struct Job
 {
     JobTerms terms;
-    JobSubmission submission;
     JobSpec spec;
     /** When it was accepted, by the wall clock of the leader at that time. */
     Milliseconds acceptedAt;
@@ -92,12 +91,14 @@
     std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t occurrencesBegun = 0;
     std::uint32_t occurrencesDone = 0;
+    /** Empty for a job that a former version has stored. */
+    JobSubmission submission;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.terms, self.submission, self.spec, self.acceptedAt, self.state,
-                        self.occurrences, self.occurrencesBegun, self.occurrencesDone);
+        return std::tie(self.terms, self.spec, self.acceptedAt, self.state, self.occurrences,
+                        self.occurrencesBegun, self.occurrencesDone, self.submission);
     }
 
     [[nodiscard]] bool isOver() const
@@ -139,14 +140,14 @@
 {
     JobId id;
     JobTerms terms;
-    JobSubmission submission;
     JobSpec spec;
     Milliseconds acceptedAt;
+    JobSubmission submission;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.id, self.terms, self.submission, self.spec, self.acceptedAt);
+        return std::tie(self.id, self.terms, self.spec, self.acceptedAt, self.submission);
     }
 };
 
