Order each start after the acknowledgements before it, and the reverse

Cause: nothing in an order names the worker's incarnation. A start and an acknowledgement for the former one could both reach the next one, in this sequence and with the same fencing token; it executed the start and then dropped the end, which no leader had seen. The run was missing from the worker's list, counted as lost, and its task started again.

Change: one rule on the sequence of calls to a worker. - A start has a higher fencing revision than each acknowledgement sent to its worker before. - An acknowledgement is sent only when the tracked incarnation has certainly executed or refused each start before it. A list that contains the run shows that, if one copy was sent; so does an answer whose clock is ahead of the time since this incarnation was certainly alive. A copy without an answer holds acknowledgements back while its run is open, for 15 s at most. - Acknowledgements leave before the starts of the same batch, or with the answer that settles the last start. Meanwhile the lease is renewed without one, and after 300 ms the worker gets no further starts until it has left. - A renewal that a later start has overtaken is repeated at once. The raise of the revision after an unanswered acknowledgement is implied, so it is gone. Counters acknowledgements_overdue_total and acknowledgements_fenced_total tell how often acknowledgements wait and are refused.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -52,6 +52,7 @@
                     run.isInherited = true;
                     run.wasAcknowledged = true;
                     run.mayArriveLate = true;
+                    run.startCopies.add(now);
                 }
             }
         }
@@ -372,9 +373,13 @@
         out.measure(SpanMeasured{Span::StartDurable, now - *decisions.firstStartAt});
     if (decisions.firstEndAt.has_value())
         out.measure(SpanMeasured{Span::EndDurable, now - *decisions.firstEndAt});
+    // An acknowledgement waits for the starts before it, so it goes ahead of these.
     for (const auto &[incarnation, number] : decisions.acknowledgedEnds) {
-        if (PooledWorker *const worker = m_pool.find(incarnation))
-            worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, number);
+        PooledWorker *const worker = m_pool.find(incarnation);
+        if (worker == nullptr)
+            continue;
+        worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, number);
+        m_runs.sendDueOrders(now, *worker, out);
     }
     std::set<WorkerIncarnation> touched;
     for (const JobTaskRef &task : decisions.starts) {
@@ -399,8 +404,6 @@
         m_runs.orderStart(now, *worker, task, out);
         touched.insert(progress->worker);
     }
-    for (const auto &[incarnation, number] : decisions.acknowledgedEnds)
-        touched.insert(incarnation);
     for (const WorkerIncarnation &incarnation : touched) {
         if (PooledWorker *const worker = m_pool.find(incarnation))
             m_runs.sendDueOrders(now, *worker, out);
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -35,6 +35,10 @@
 /** An acknowledgement that is sent later after a list may meet the worker's next incarnation. It
  * covers the time in which an end becomes durable. */
 constexpr Milliseconds MaxListAgeForAcknowledgement{200};
+/** How long a renewal waits for the answers to starts, so that it can carry an acknowledgement. */
+constexpr Milliseconds MaxRenewalDelay{100};
+/** After this time the worker gets no further starts until its acknowledgement was sent. */
+constexpr Milliseconds MaxAcknowledgementWait{300};
 
 } // namespace
 
@@ -122,6 +126,7 @@
         run.wasSent = true;
         run.mayArriveLate = true;
         run.isStopping = true;
+        run.startCopies.addUntraceable(now);
     }
     if (!moved.empty())
         WorkerPool::recordForeignLease(*m_pool.find(next), now);
@@ -156,8 +161,14 @@
     const bool wasUsable = WorkerPool::isUsable(*worker, now);
     apply(now, *worker, call, answer, out);
     // The incarnation may have been replaced.
-    const PooledWorker *const after = m_pool.find(call.incarnation);
-    if (!wasUsable && after != nullptr && WorkerPool::isUsable(*after, now))
+    PooledWorker *const after = m_pool.find(call.incarnation);
+    if (after == nullptr)
+        return;
+    if (after->acknowledgementWaitsSince.has_value() && !after->hasUnsettledStart(now)) {
+        after->nextLeaseRenewal = now;
+        sendDueRenewal(now, *after, out);
+    }
+    if (!wasUsable && WorkerPool::isUsable(*after, now))
         m_results.onWorkerUsable();
 }
 
@@ -225,6 +236,8 @@
     if (run == nullptr)
         return;
     run->nextAttempt = now;
+    if (call.kind == OrderKind::Start)
+        run->startCopies.withdraw();
     // No order of this run has been sent before, so the next one counts as the first.
     if (call.kind == OrderKind::Start && !run->mayArriveLate)
         run->startedAt.reset();
@@ -275,11 +288,10 @@
             worker.isFailing = true;
             worker.isUnverified = true;
         }
-        // The next incarnation must refuse the acknowledgement once it has executed a start.
-        if (call.acknowledgedEnd > CompletionNumber())
-            m_pool.raiseRevision(worker);
         return;
     }
+    if (call.kind != OrderKind::LeaseRenewal && WorkerPool::isOwnClock(worker, now, answer.clock))
+        worker.aliveAt = std::max(*worker.aliveAt, call.sentAt);
     worker.unansweredOrders = 0;
     if (worker.isFailing)
         out.note(call.incarnation.worker.value(), "worker answers again");
@@ -306,6 +318,7 @@
         return;
     OpenRun &run = *found;
     PooledWorker &worker = *m_pool.find(call.incarnation);
+    settleStart(now, worker, run, answer);
     run.nextAttempt = now + RetryDelay;
     switch (answer.verdict) {
     case WorkerVerdict::Done:
@@ -334,6 +347,18 @@
         endRun(call.incarnation, call.task, RunEnding::NotStarted, out);
 }
 
+void RunTracker::settleStart(Instant now, const PooledWorker &worker, OpenRun &run,
+                             const WorkerAnswer &answer)
+{
+    if (answer.verdict == WorkerVerdict::NoAnswer)
+        return;
+    // A copy that was refused is not executed later, whichever incarnation has refused it.
+    const bool wasExecuted
+            = answer.verdict == WorkerVerdict::Done || answer.verdict == WorkerVerdict::Superseded;
+    if (!wasExecuted || WorkerPool::isOwnClock(worker, now, answer.clock))
+        run.startCopies.settle();
+}
+
 void RunTracker::handleStopAnswer(Instant now, const Call &call, const WorkerAnswer &answer)
 {
     OpenRun *const found = runOf(call);
@@ -353,8 +378,16 @@
     const Milliseconds retryDelay = worker.runs.empty() ? IdleRetryDelay : RetryDelay;
     worker.nextLeaseRenewal
             = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : retryDelay);
+    if (answer.verdict == WorkerVerdict::Fenced && call.revision < worker.revision) {
+        // A start that was sent later has arrived earlier.
+        if (call.acknowledgedEnd > CompletionNumber())
+            out.count(CellEvent::AcknowledgementFenced);
+        worker.nextLeaseRenewal = now;
+        sendDueRenewal(now, worker, out);
+    }
     if (answer.verdict != WorkerVerdict::Done)
         return;
+    worker.aliveAt = std::max(worker.aliveAt.value_or(call.sentAt), call.sentAt);
     // A list that was asked for earlier may come from the incarnation before.
     if (call.revision == worker.revision)
         worker.isUnverified = false;
@@ -364,6 +397,8 @@
     if (worker.hasUnacknowledgeableEnd)
         worker.nextLeaseRenewal = now + WithheldEndPollInterval;
     reconcileRuns(now, worker, call, answer, out);
+    if (worker.hasNewAcknowledgement() && worker.hasUnsettledStart(now))
+        worker.nextLeaseRenewal = now + WithheldEndPollInterval;
 }
 
 void RunTracker::reconcileRuns(Instant now, PooledWorker &worker, const Call &call,
@@ -385,6 +420,7 @@
         present.insert(listed.task);
         found->second.wasAcknowledged = true;
         found->second.wasListed = true;
+        found->second.startCopies.settleListed();
         found->second.checkpoint = listed.checkpoint;
     }
     if (answer.ended.size() >= MaxEndsListed) {
@@ -471,25 +507,68 @@
             run.nextAttempt = now + ExecutingCheckInterval;
         }
     }
-    const bool hasSendableAcknowledgement = worker.acknowledgedEnd > worker.droppedEnd
+    sendDueRenewal(now, worker, out);
+}
+
+bool RunTracker::updateAcknowledgementWait(Instant now, PooledWorker &worker, Outbox &out)
+{
+    if (!worker.hasNewAcknowledgement()) {
+        worker.acknowledgementWaitsSince.reset();
+        worker.isAcknowledgementOverdue = false;
+        return false;
+    }
+    if (!worker.hasUnsettledStart(now))
+        return false;
+    if (!worker.acknowledgementWaitsSince.has_value())
+        worker.acknowledgementWaitsSince = now;
+    // Waiting for copies that are under way without an answer does not end with fewer starts.
+    const bool canEnd = std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto &it) {
+        const OpenRun &run = it.second;
+        return run.mayDelayAcknowledgement(now)
+                && (run.isCallInFlight || run.startCopies.canBeListed());
+    });
+    const bool wasOverdue = worker.isAcknowledgementOverdue;
+    worker.isAcknowledgementOverdue = canEnd
+            && (wasOverdue || now - *worker.acknowledgementWaitsSince > MaxAcknowledgementWait);
+    if (worker.isAcknowledgementOverdue && !wasOverdue) {
+        out.count(CellEvent::AcknowledgementOverdue);
+        out.note(worker.report.incarnation.worker.value(),
+                 absl::StrCat("acknowledgement waits for starts: end=",
+                              worker.acknowledgedEnd.value()));
+    }
+    return true;
+}
+
+void RunTracker::sendDueRenewal(Instant now, PooledWorker &worker, Outbox &out)
+{
+    const bool mustWait = updateAcknowledgementWait(now, worker, out);
+    const bool hasSendableAcknowledgement = worker.hasNewAcknowledgement()
             && now - worker.listedAt <= MaxListAgeForAcknowledgement;
     const bool hasPendingAcknowledgement
             = worker.acknowledgedEnd < worker.acknowledgeableEnd && !hasSendableAcknowledgement;
     if (worker.isLeaseRenewalInFlight || now < worker.nextLeaseRenewal || hasPendingAcknowledgement)
         return;
+    const bool hasStartInFlight
+            = std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto &entry) {
+                  return entry.second.isCallInFlight && entry.second.mayDelayAcknowledgement(now);
+              });
+    if (mustWait && hasStartInFlight && now - *worker.acknowledgementWaitsSince < MaxRenewalDelay)
+        return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
     if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled()
-        || worker.hasUnexpectedRun)
+        || worker.hasUnexpectedRun || worker.isAcknowledgementOverdue)
         renewLease(now, worker, out);
 }
 
 void RunTracker::renewLease(Instant now, PooledWorker &worker, Outbox &out)
 {
-    const bool hasNewAcknowledgement = worker.acknowledgedEnd > worker.droppedEnd;
     const bool isRecentlyListed = now - worker.listedAt <= MaxListAgeForAcknowledgement;
+    // The next incarnation must refuse an acknowledgement that follows a start.
+    const bool isAcknowledging = worker.hasNewAcknowledgement() && !worker.isOnlyPolled()
+            && isRecentlyListed && !worker.hasUnsettledStart(now);
     // Without a recent list the worker is listed again at once, and the acknowledgement follows.
     const bool isLongPoll = !worker.isOnlyPolled() && worker.clock.has_value()
-            && (!hasNewAcknowledgement || isRecentlyListed);
+            && (!worker.hasNewAcknowledgement() || isAcknowledging);
     Call call;
     for (const auto &[task, run] : worker.runs) {
         if (run.wasAcknowledged && run.wasSent)
@@ -497,8 +576,13 @@
     }
     // Repeating an acknowledgement would be of no use to this incarnation, and the next one would
     // drop ends that nobody has seen.
-    if (!worker.isOnlyPolled() && hasNewAcknowledgement && isRecentlyListed)
+    if (isAcknowledging) {
         call.acknowledgedEnd = worker.acknowledgedEnd;
+        worker.acknowledgementRevision = worker.revision;
+        worker.acknowledgementWaitsSince.reset();
+        if (std::exchange(worker.isAcknowledgementOverdue, false))
+            m_results.onWorkerUsable();
+    }
     CallWorker effect = makeCall(now, worker,
                                  OrderLeaseRenewal{call.acknowledgedEnd,
                                                    isLongPoll ? RenewalPollWait : Milliseconds(0)});
@@ -530,6 +614,7 @@
     call.incarnation = effect.incarnation;
     call.leaseUntil = effect.leaseUntil;
     call.revision = effect.revision;
+    call.sentAt = now;
     call.minClock = WorkerPool::minClock(worker, now);
     m_calls.emplace(effect.call, std::move(call));
     m_metrics.recordOrder(now, effect, out);
@@ -549,6 +634,10 @@
             = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now, length);
     if (!until.has_value())
         return;
+    // The next incarnation must refuse an acknowledgement that arrives after the start.
+    if (worker.acknowledgementRevision >= worker.revision)
+        m_pool.raiseRevision(worker);
+    run.startCopies.add(now);
     CallWorker effect = makeCall(now, worker,
                                  OrderStart{task, run.run,
                                             std::make_shared<const std::string>(job.spec.payload),
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -67,6 +67,7 @@
         std::int64_t leaseUntil = 0;
         /** Ends up to this number are acknowledged by the call. */
         CompletionNumber acknowledgedEnd;
+        Instant sentAt;
         /** Lower bound of the worker's clock when the call was sent; empty if unknown. */
         std::optional<std::int64_t> minClock;
         FenceRevision revision;
@@ -87,6 +88,9 @@
                Outbox &out);
     void recordAnswer(Instant now, PooledWorker &worker, const Call &call,
                       const WorkerAnswer &answer, Outbox &out);
+    /** Records what the answer to a start says of its copy. */
+    static void settleStart(Instant now, const PooledWorker &worker, OpenRun &run,
+                            const WorkerAnswer &answer);
     void handleNotSent(Instant now, const Call &call, Outbox &out);
     /** Withdraws a lease that only \a call has granted, since the call was never sent. */
     void withdrawGrant(const Call &call);
@@ -104,6 +108,10 @@
     void endSentRuns(const WorkerIncarnation &incarnation, const PooledWorker &worker,
                      RunEnding ending, Outbox &out);
     void endLapsedRuns(Instant now, Outbox &out);
+    /** Sends the lease renewal if it is due. */
+    void sendDueRenewal(Instant now, PooledWorker &worker, Outbox &out);
+    /** True if an acknowledgement waits for starts; begins and ends such a wait. */
+    bool updateAcknowledgementWait(Instant now, PooledWorker &worker, Outbox &out);
     void renewLease(Instant now, PooledWorker &worker, Outbox &out);
     void orderStop(Instant now, PooledWorker &worker, const JobTaskRef &task, RunNumber run,
                    Outbox &out);
--- /dev/null
+++ b/control/jobs/start_copies.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/units.h"
+
+#include <cstdint>
+
+namespace gentiancross {
+
+/**
+ * Counts the copies of a start order that a worker's next incarnation may still execute. A copy is
+ * settled once the incarnation that it was sent to has certainly executed or refused it. Thread
+ * safety: a value type.
+ */
+class StartCopies
+{
+public:
+    /** A copy without an answer counts as settled after this time: what waits for it must not wait
+     * for a run that takes minutes, since a worker lists at most 500 ends. */
+    static constexpr Milliseconds MaxAge{15'000};
+
+    /** Records that a copy is sent. */
+    void add(Instant now)
+    {
+        ++m_sent;
+        ++m_unsettled;
+        m_lastSentAt = now;
+    }
+    /** Records that a copy was dropped before it was sent. Precondition: it was added. */
+    void withdraw()
+    {
+        --m_sent;
+        settle();
+    }
+    /** Records that one copy is settled. */
+    void settle() { m_unsettled -= m_unsettled > 0 ? 1 : 0; }
+    /** Records that a list of the incarnation contains the run. Of several copies it tells only
+     * that one was executed. */
+    void settleListed()
+    {
+        if (m_sent == 1)
+            m_unsettled = 0;
+    }
+    /** Records that no list can settle the copies that were sent. */
+    void addUntraceable(Instant now)
+    {
+        add(now);
+        add(now);
+    }
+
+    [[nodiscard]] bool areSettled(Instant now) const
+    {
+        return m_unsettled == 0 || now - m_lastSentAt > MaxAge;
+    }
+    /** True if a list can settle them. */
+    [[nodiscard]] bool canBeListed() const { return m_sent <= 1; }
+
+private:
+    std::uint32_t m_sent = 0;
+    std::uint32_t m_unsettled = 0;
+    Instant m_lastSentAt;
+};
+
+} // namespace gentiancross
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -123,6 +123,13 @@
     return Milliseconds(std::max<std::int64_t>(*current - *clock, 0));
 }
 
+bool WorkerPool::isOwnClock(const PooledWorker &worker, Instant now,
+                            std::optional<std::int64_t> clock)
+{
+    return clock.has_value() && worker.aliveAt.has_value()
+            && *clock > (now - *worker.aliveAt).value() + ClockMarginMilliseconds;
+}
+
 std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now,
                                               Milliseconds length)
 {
@@ -206,8 +213,9 @@
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
     return worker.isAnnounced && !worker.report.isDraining && !worker.isOnlyPolled()
-            && !worker.hasUnexpectedRun && worker.clock.has_value()
-            && now - worker.lastHeartbeat < MaxHeartbeatAge && now >= worker.avoidUntil;
+            && !worker.hasUnexpectedRun && !worker.isAcknowledgementOverdue
+            && worker.clock.has_value() && now - worker.lastHeartbeat < MaxHeartbeatAge
+            && now >= worker.avoidUntil;
 }
 
 } // namespace gentiancross
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "control/jobs/capacity_index.h"
+#include "control/jobs/start_copies.h"
 #include "control/jobs/worker_pace.h"
 #include "core/job_calls.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -36,6 +38,7 @@
     bool wasListed = false;
     /** True if a copy of the start may still reach this incarnation of the worker or the next. */
     bool mayArriveLate = false;
+    StartCopies startCopies;
     bool isCallInFlight = false;
     bool isStopping = false;
     Instant nextAttempt;
@@ -44,6 +47,13 @@
     std::string ticket;
     /** The latest checkpoint that the worker has reported. */
     std::string checkpoint;
+
+    /** True if the next incarnation may still execute the start and then drop its end. Ends of
+     * long-running tasks are never final, so they do no harm there. */
+    [[nodiscard]] bool mayDelayAcknowledgement(Instant now) const
+    {
+        return !isLongRunning && !startCopies.areSettled(now);
+    }
 };
 
 /** An incarnation of a worker, as tracked by the leader. */
@@ -79,6 +89,15 @@
     CompletionNumber droppedEnd;
     /** When it made its newest list, or later. */
     Instant listedAt;
+    /** A time at which this incarnation was certainly alive; empty if there was no list yet. */
+    std::optional<Instant> aliveAt;
+    /** The newest revision that an acknowledgement was sent with. */
+    std::optional<FenceRevision> acknowledgementRevision;
+    /** Since when an acknowledgement has waited for starts to be settled; empty if none waits. */
+    std::optional<Instant> acknowledgementWaitsSince;
+    /** True if an acknowledgement has waited so long that the worker gets no further starts until
+     * it was sent. */
+    bool isAcknowledgementOverdue = false;
     /** True if the worker has listed an end after `acknowledgeableEnd` that it must not forget.
      * Cleared when a lease lapses while something runs. */
     bool hasUnacknowledgeableEnd = false;
@@ -109,6 +128,14 @@
     /** True if the worker is only asked for its lists: it gets no run and no lease, and no end is
      * acknowledged, since the next incarnation would take each of these as its own. */
     [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified; }
+    [[nodiscard]] bool hasNewAcknowledgement() const { return acknowledgedEnd > droppedEnd; }
+    /** True if an acknowledgement that is sent now could follow a start in the next incarnation. */
+    [[nodiscard]] bool hasUnsettledStart(Instant now) const
+    {
+        return std::any_of(runs.begin(), runs.end(), [now](const auto &entry) {
+            return entry.second.mayDelayAcknowledgement(now);
+        });
+    }
     /** Number of ends that the worker keeps listing until they are acknowledged. */
     [[nodiscard]] std::uint64_t unacknowledgedEndCount() const
     {
@@ -189,6 +216,10 @@
     /** How long ago the worker's clock showed \a clock, at least; 0 if that is unknown. */
     [[nodiscard]] static Milliseconds minAge(const PooledWorker &worker, Instant now,
                                              std::optional<std::int64_t> clock);
+    /** True if \a clock, received at \a now, is a reading of this incarnation's clock: a later
+     * one's clock began after `aliveAt`. */
+    [[nodiscard]] static bool isOwnClock(const PooledWorker &worker, Instant now,
+                                         std::optional<std::int64_t> clock);
     /** True if the worker may be given new runs. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
     /** False if the worker's list of ends that cannot be acknowledged is too long for a run of the
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -69,6 +69,10 @@
     RunMoved,
     /** An answer may come from another incarnation than the one that was called. */
     UnidentifiedAnswer,
+    /** An acknowledgement of ends waits for starts that the next incarnation may still execute. */
+    AcknowledgementOverdue,
+    /** A worker refused an acknowledgement, since a later start has reached it first. */
+    AcknowledgementFenced,
 };
 
 /** Time spans that are measured. */
--- a/servers/cell_metrics.cpp
+++ b/servers/cell_metrics.cpp
@@ -28,7 +28,7 @@
 constexpr std::array EndingNames
         = {"done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost"};
 constexpr std::array SourceNames = {"listed", "concluded", "concluded_inherited"};
-constexpr std::array<std::pair<const char *, const char *>, 18> EventNames = {{
+constexpr std::array<std::pair<const char *, const char *>, 20> EventNames = {{
         {"starts_total", "run=\"first\""},
         {"starts_total", "run=\"later\""},
         {"starts_repeated_total", ""},
@@ -47,6 +47,8 @@
         {"workers_restarted_total", ""},
         {"runs_moved_total", ""},
         {"answers_unidentified_total", ""},
+        {"acknowledgements_overdue_total", ""},
+        {"acknowledgements_fenced_total", ""},
 }};
 constexpr std::array SpanNames = {"start_durable_milliseconds", "run_ended_milliseconds",
                                   "end_durable_milliseconds", "tick_gap_milliseconds"};
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -396,3 +396,58 @@
     CHECK(std::get<JobStateReport>(bench.queryJob(job)).state == JobState::Completed);
     CHECK(std::get<JobStateReport>(bench.queryJob(otherJob)).state == JobState::Completed);
 }
+
+// Guards against an acknowledgement that reaches the next incarnation after a start, and drops its
+// end there.
+TEST_CASE("A start has a higher fencing token than the acknowledgements before it")
+{
+    LeaderBench bench;
+    runOneJob(bench);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker renewal = takeRenewal(bench, "v");
+    REQUIRE(acknowledgedBy(renewal) == CompletionNumber(1));
+    bench.submit(thirdJob, {makeStep(1, 100)});
+    const CallWorker start = bench.takeStarts().at(0);
+    CHECK(fencingTokenOf(start) > fencingTokenOf(renewal));
+    // The start has overtaken the renewal, which is repeated without delay once it is answered.
+    bench.answer(start, WorkerVerdict::Done);
+    bench.answer(renewal, WorkerVerdict::Fenced);
+    const std::optional<CallWorker> repeated = bench.takeLeaseRenewal("v");
+    REQUIRE(repeated.has_value());
+    CHECK(fencingTokenOf(*repeated) >= fencingTokenOf(start));
+}
+
+// Guards against the same where the start is sent first, and against ends that are never
+// acknowledged while starts follow each other.
+TEST_CASE("An acknowledgement waits for the starts before it, and leaves when they are answered")
+{
+    LeaderBench bench;
+    startJob(bench);
+    const CallWorker renewal = takeRenewal(bench, "v");
+    bench.submit(otherJob, {makeStep(1, 100)});
+    const CallWorker start = bench.takeStarts().at(0);
+    bench.answerWithRuns(renewal, {}, {ended(1, job, 1)});
+    CHECK_FALSE(bench.takeLeaseRenewal("v").has_value());
+    SECTION("at once if the answer is soon")
+    {
+        bench.answer(start, WorkerVerdict::Done);
+        const std::optional<CallWorker> next = bench.takeLeaseRenewal("v");
+        REQUIRE(next.has_value());
+        CHECK(acknowledgedBy(*next) == CompletionNumber(1));
+    }
+    SECTION("with leases renewed, and no further starts there, if it is late")
+    {
+        for (int poll = 0; poll < 2; ++poll) {
+            const CallWorker listing = takeRenewal(bench, "v");
+            CHECK(acknowledgedBy(listing) == CompletionNumber(0));
+            CHECK(listing.leaseUntil > renewal.leaseUntil);
+            bench.answerWithRuns(listing, {}, {ended(1, job, 1)});
+        }
+        bench.submit(thirdJob, {makeStep(1, 100)});
+        CHECK(bench.takeStarts().empty());
+        bench.answer(start, WorkerVerdict::Done);
+        CHECK(acknowledgedBy(takeRenewal(bench, "v")) == CompletionNumber(1));
+        CHECK(bench.takeStarts().size() == 1);
+    }
+}
