Accept only the same exchange again after its key was withdrawn

Cause: a submission was recognized by its host, path and key, which a caller's own repetition has, too.

Change: the job keeps the origin of its submission (host, process, exchange). Only what the entry host sends again of that exchange equals it, and that was sent by the caller before. Keys are not stored with jobs any more.

Test: call_handler_test "A caller's own repetition of a submission needs a key that is valid now". The two tests of repeated submissions send the same exchange again, as an entry host does.

--- a/control/jobs/call_handler.cpp
+++ b/control/jobs/call_handler.cpp
@@ -39,11 +39,6 @@
             && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
-JobSubmission submissionOf(const JobCall &call)
-{
-    return {call.host, call.path, call.key};
-}
-
 } // namespace
 
 CallHandler::CallHandler(const JobStoreData &store, CallDecisionHandler &decisions)
@@ -64,19 +59,19 @@
     m_decisions.answer(origin, CallRefused{refusal, std::move(reason), {}});
 }
 
-bool CallHandler::isRepeatedSubmission(const JobCall &call) const
+bool CallHandler::isRepeatedSubmission(const CallOrigin &origin, const JobCall &call) const
 {
     if (call.verb != JobVerb::Submit || call.path.size() < JobIdLength)
         return false;
     const auto found = m_store.jobs.find(JobId(call.path.substr(call.path.size() - JobIdLength)));
-    return found != m_store.jobs.end() && found->second.submission == submissionOf(call);
+    return found != m_store.jobs.end() && found->second.submittedBy == origin;
 }
 
 void CallHandler::handle(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                          Outbox &out)
 {
     // Comes first: a refusal would say that the stored job does not run.
-    if (isRepeatedSubmission(call)) {
+    if (isRepeatedSubmission(origin, call)) {
         m_decisions.answer(origin, CallDone{});
         return;
     }
@@ -147,7 +142,7 @@
     record.terms = {queue.queue,           queue.pool,        team,
                     queue.priority,        queue.maxAttempts, queue.allowance,
                     queue.stretchPermille, queue.advice};
-    record.submission = submissionOf(call);
+    record.submittedBy = origin;
     record.spec = *call.spec;
     record.acceptedAt = wall;
     out.note(id,
--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -10,15 +10,6 @@
 
 namespace gentiancross {
 
-/** Origin of a call: the host that has the caller's connection, and the exchange on that host. */
-struct CallOrigin
-{
-    HostId host;
-    ExchangeId exchange;
-    /** The process that has the connection; exchange ids start over with each process. */
-    SessionId session;
-};
-
 /** Receives the decisions on calls from CallHandler. Called on the control thread. */
 class CallDecisionHandler
 {
@@ -44,8 +35,8 @@
     /** Both must outlive this object. */
     CallHandler(const JobStoreData &store, CallDecisionHandler &decisions);
 
-    /** A repeated submission is accepted even if its key or queue is gone by now; only the caller
-     * that submitted the job can repeat it, so this shows nobody else that the job exists. */
+    /** A submission that its host sends again is accepted even if its key or queue is gone by now:
+     * a refusal would be the caller's only answer. */
     void handle(Milliseconds wall, const CallOrigin &origin, const JobCall &call, Outbox &out);
     void handle(const CallOrigin &origin, const PutConfiguration &call, Outbox &out);
     void handle(const CallOrigin &origin, const GetConfiguration &call);
@@ -53,8 +44,8 @@
     void updateWaiting(const JobId &id, const Job &job);
 
 private:
-    /** True if the same call has already submitted a job that is stored. */
-    [[nodiscard]] bool isRepeatedSubmission(const JobCall &call) const;
+    /** True if the call has already submitted a job that is stored. */
+    [[nodiscard]] bool isRepeatedSubmission(const CallOrigin &origin, const JobCall &call) const;
     void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
     void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -38,7 +38,7 @@
             return;
         Job &job = found->second;
         job.terms = record.terms;
-        job.submission = record.submission;
+        job.submittedBy = record.submittedBy;
         job.spec = record.spec;
         job.acceptedAt = record.acceptedAt;
         if (job.spec.repeats == 0)
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -62,23 +62,6 @@
     }
 };
 
-/** The call with which a job was submitted; a repetition of the call equals it. */
-struct JobSubmission
-{
-    std::string host;
-    std::string path;
-    /** Empty for a submission without a key, which public queues accept. */
-    std::optional<ApiKey> key;
-
-    bool operator==(const JobSubmission &) const = default;
-
-    template <typename Self>
-    static auto fields(Self &self)
-    {
-        return std::tie(self.host, self.path, self.key);
-    }
-};
-
 /** A job and its progress. */
 struct Job
 {
@@ -92,13 +75,13 @@
     std::uint32_t occurrencesBegun = 0;
     std::uint32_t occurrencesDone = 0;
     /** Empty for a job that a former version has stored. */
-    JobSubmission submission;
+    CallOrigin submittedBy;
 
     template <typename Self>
     static auto fields(Self &self)
     {
         return std::tie(self.terms, self.spec, self.acceptedAt, self.state, self.occurrences,
-                        self.occurrencesBegun, self.occurrencesDone, self.submission);
+                        self.occurrencesBegun, self.occurrencesDone, self.submittedBy);
     }
 
     [[nodiscard]] bool isOver() const
@@ -142,12 +125,12 @@
     JobTerms terms;
     JobSpec spec;
     Milliseconds acceptedAt;
-    JobSubmission submission;
+    CallOrigin submittedBy;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.id, self.terms, self.spec, self.acceptedAt, self.submission);
+        return std::tie(self.id, self.terms, self.spec, self.acceptedAt, self.submittedBy);
     }
 };
 
--- a/core/jobs.h
+++ b/core/jobs.h
@@ -34,6 +34,24 @@
 /** Identifies a request to an adviser. */
 using AdviceRequestId = NumberId<struct AskTag>;
 
+/** Origin of a call: the host that has the caller's connection, and the exchange on that host. The
+ * host may send the call again; a caller's own repetition has another origin. */
+struct CallOrigin
+{
+    HostId host;
+    ExchangeId exchange;
+    /** The process that has the connection; exchange ids start over with each process. */
+    SessionId session;
+
+    bool operator==(const CallOrigin &) const = default;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.host, self.exchange, self.session);
+    }
+};
+
 /** One lifetime of a worker process, whatever address it has: its name and its birth time. */
 struct WorkerIncarnation
 {
--- a/core/record_size.cpp
+++ b/core/record_size.cpp
@@ -75,13 +75,8 @@
 
 std::size_t bytesOf(const JobRecord &record)
 {
-    if (const auto *job = std::get_if<JobAccepted>(&record)) {
-        const JobSubmission &submission = job->submission;
-        const std::size_t keyBytes
-                = submission.key.has_value() ? submission.key->value().size() : 0;
-        return PlainRecordBytes + submission.host.size() + submission.path.size() + keyBytes
-                + job->spec.payload.size() + StepBytes * job->spec.steps.size();
-    }
+    if (const auto *job = std::get_if<JobAccepted>(&record))
+        return PlainRecordBytes + job->spec.payload.size() + StepBytes * job->spec.steps.size();
     const auto *accepted = std::get_if<DocumentAccepted>(&record);
     if (accepted != nullptr && accepted->document.has_value())
         return PlainRecordBytes + DocumentCopies * accepted->document->source.size();
--- a/tests/control/jobs/call_handler_test.cpp
+++ b/tests/control/jobs/call_handler_test.cpp
@@ -22,13 +22,25 @@
     return refused == nullptr ? std::nullopt : std::optional<Refusal>(refused->refusal);
 }
 
-CallAnswer call(LeaderBench &bench, JobVerb verb, const std::string &key,
-                const std::string &path = "/q/" + jobA)
+JobCall makeCall(JobVerb verb, const std::string &key, const std::string &path = "/q/" + jobA)
 {
     JobSpec spec;
     spec.steps = {makeStep(1, 100)};
     const auto given = key.empty() ? std::nullopt : std::optional<ApiKey>(ApiKey(key));
-    return bench.call(JobCall{verb, "h", path, given, spec, {}});
+    return JobCall{verb, "h", path, given, spec, {}};
+}
+
+CallAnswer call(LeaderBench &bench, JobVerb verb, const std::string &key,
+                const std::string &path = "/q/" + jobA)
+{
+    return bench.call(makeCall(verb, key, path));
+}
+
+/** Submits job A, as the entry host does once and then again. */
+CallAnswer submitFromHost(LeaderBench &bench)
+{
+    const CallOrigin origin{HostId("entry"), ExchangeId(1000), SessionId("process")};
+    return bench.call(makeCall(JobVerb::Submit, "key-of-alpha"), origin);
 }
 
 /** Replaces the key of team alpha by "new-key". */
@@ -49,13 +61,13 @@
     LeaderBench bench;
     bench.configure();
     bench.sendHeartbeat("w");
-    REQUIRE(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    REQUIRE(isDone(submitFromHost(bench)));
     bench.configure(withReplacedKey());
-    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    CHECK(isDone(submitFromHost(bench)));
     CHECK(bench.takeStarts().size() == 1);
     // The next leader knows it from the log.
     LeaderBench successor(bench.leader().store());
-    CHECK(isDone(call(successor, JobVerb::Submit, "key-of-alpha")));
+    CHECK(isDone(submitFromHost(successor)));
     CHECK(bench.leader().store().jobs.size() == 1);
 }
 
@@ -64,15 +76,15 @@
 {
     LeaderBench bench;
     bench.configure();
-    REQUIRE(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    REQUIRE(isDone(submitFromHost(bench)));
     ConfigDocument document = withReplacedKey();
     document.queues[0].queue = QueueId("renamed");
     bench.configure(document);
-    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    CHECK(isDone(submitFromHost(bench)));
     document.version = DocumentVersion(3);
     document.queues.clear();
     bench.configure(document);
-    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    CHECK(isDone(submitFromHost(bench)));
     CHECK(refusalOf(call(bench, JobVerb::Submit, "key-of-alpha", "/q/" + jobB))
           == Refusal::NoSuchQueue);
 }
@@ -94,3 +106,16 @@
           == Refusal::NoSuchQueue);
     CHECK(bench.leader().store().jobs.size() == 1);
 }
+
+// Guards against a withdrawn key that still works: the caller repeats a call that was accepted.
+TEST_CASE("A caller's own repetition of a submission needs a key that is valid now")
+{
+    LeaderBench bench;
+    bench.configure();
+    REQUIRE(isDone(submitFromHost(bench)));
+    CHECK(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    bench.configure(withReplacedKey());
+    CHECK(refusalOf(call(bench, JobVerb::Submit, "key-of-alpha")) == Refusal::UnknownKey);
+    CHECK(isDone(call(bench, JobVerb::Submit, "new-key")));
+    CHECK(bench.leader().store().jobs.size() == 1);
+}
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -109,10 +109,14 @@
 
 CallAnswer LeaderBench::call(const CellCall &call)
 {
-    const ExchangeId exchange(++m_lastExchange);
-    m_leader.receive(m_now, m_wall, {HostId("self"), exchange}, call, m_out);
+    return this->call(call, {HostId("self"), ExchangeId(++m_lastExchange), {}});
+}
+
+CallAnswer LeaderBench::call(const CellCall &call, const CallOrigin &origin)
+{
+    m_leader.receive(m_now, m_wall, origin, call, m_out);
     processDecisions();
-    return m_isLogPaused ? CallAnswer() : m_answers.at(exchange);
+    return m_isLogPaused ? CallAnswer() : m_answers.at(origin.exchange);
 }
 
 void LeaderBench::receive(const HeartbeatsReport &seen)
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -24,6 +24,8 @@
     void configure(const Resources &cap = {}, std::optional<AdviceTerms> advice = {});
     void configure(const ConfigDocument &document);
     CallAnswer call(const CellCall &call);
+    /** Calls as this origin; the other calls are of exchange 1 and up. */
+    CallAnswer call(const CellCall &call, const CallOrigin &origin);
     /** Delivers heartbeats that another host has acknowledged. */
     void receive(const HeartbeatsReport &seen);
     CallAnswer submit(const std::string &id, std::vector<StepSpec> steps,
