Poll a worker whose name was used before, and reckon with its former lease

What callers could see: two runs of a task at the same time.

Cause: two more messages that count for whichever incarnation is there. A renewal for the former incarnation can grant the next one a lease of up to 10 s, of which the leader knew only if a run had moved over. And a start for an incarnation that had left, or had been silent, could be executed by the next one under its name, which was used from its first heartbeat on.

Change: after each restart under a name the longest lease is reckoned with. A name that was used before, by the store or by this leader, is polled with a higher revision before its worker gets runs.

Tests: worker_restart_test "A run in a restarted worker lapses only after the longest lease...", "A worker under the name of one that has left...".

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -224,6 +224,8 @@
     recordClock(*worker, now, call.clock, out);
     if (isContested)
         m_runs.verifyClaim(now, *worker, out);
+    else if (isNew && isNameReused(incarnation))
+        m_runs.verifySuccessor(now, *worker, out);
     answer(origin, taken);
 }
 
@@ -262,7 +264,7 @@
     const auto isOther = [&incarnation](const WorkerIncarnation &other) {
         return other.worker == incarnation.worker && other != incarnation;
     };
-    return std::any_of(left.begin(), left.end(), isOther)
+    return m_pool.wasRemoved(incarnation.worker) || std::any_of(left.begin(), left.end(), isOther)
             || std::any_of(m_pool.all().begin(), m_pool.all().end(),
                            [&isOther](const auto &entry) { return isOther(entry.first); });
 }
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -124,6 +124,15 @@
     sendDueOrders(now, worker, out);
 }
 
+void RunTracker::verifySuccessor(Instant now, PooledWorker &worker, Outbox &out)
+{
+    worker.isUnverified = true;
+    worker.nextLeaseRenewal = now;
+    m_pool.raiseRevision(worker);
+    WorkerPool::recordForeignLease(worker, now);
+    sendDueOrders(now, worker, out);
+}
+
 bool RunTracker::checkClaim(Instant now, PooledWorker &claimant, const WorkerAnswer &answer,
                             Outbox &out)
 {
@@ -199,6 +208,8 @@
     if (old.worker == next.worker) {
         out.count(CellEvent::WorkerRestarted);
         PooledWorker &successor = *m_pool.find(next);
+        // A renewal for the former incarnation may have granted it a lease.
+        WorkerPool::recordForeignLease(successor, now);
         // Orders for the former incarnation that are still in flight must not reach the next one.
         // It refuses them once it has executed the poll of its claim.
         if (successor.revision <= worker->revision) {
@@ -220,8 +231,6 @@
         run.isStopping = true;
         run.startCopies.addUntraceable(now);
     }
-    if (!moved.empty())
-        WorkerPool::recordForeignLease(*m_pool.find(next), now);
     // Its heartbeats and leave calls that are still in transit must not count.
     removeIncarnation(old, WorkerLeft{old}, "replaced by another incarnation", out);
     sendDueOrders(now, *m_pool.find(next), out);
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -45,6 +45,10 @@
     /** Makes \a worker a claim, and asks at its address which incarnation is there. Precondition:
      * it is new, and its heartbeat has the name or the address of another incarnation. */
     void verifyClaim(Instant now, PooledWorker &worker, Outbox &out);
+    /** Asks \a worker for its lists before it is used, since orders for a former incarnation of its
+     * name may still reach it. Precondition: it is new, and no incarnation of its name is tracked.
+     */
+    void verifySuccessor(Instant now, PooledWorker &worker, Outbox &out);
     /** False if a run of the task is no longer needed. */
     [[nodiscard]] bool isWanted(const JobTaskRef &task) const;
 
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -16,6 +16,9 @@
 /** How long after its last contact with a quorum a former leader may have granted leases. */
 constexpr Milliseconds FormerLeaderMargin{800};
 
+/** Covers the workers that end within the time for which their orders can be in transit. */
+constexpr std::size_t MaxRemovedNames = 10'000;
+
 /** A list of 500 ends is truncated and may lack newer ones. */
 constexpr std::uint64_t MaxUnacknowledgedEnds = 400;
 /** A lapsing lease loses work, so a lease lapses only once the list is long. */
@@ -44,7 +47,15 @@
 
 void WorkerPool::remove(const WorkerIncarnation &incarnation)
 {
-    m_workers.erase(incarnation);
+    const auto found = m_workers.find(incarnation);
+    if (found == m_workers.end())
+        return;
+    if (!found->second.isClaim()) {
+        if (m_removedNames.size() >= MaxRemovedNames)
+            m_removedNames.erase(m_removedNames.begin());
+        m_removedNames.insert(incarnation.worker);
+    }
+    m_workers.erase(found);
     m_areCapacitiesCurrent = false;
 }
 
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -185,6 +185,11 @@
     /** Adds an incarnation or updates its report. */
     PooledWorker &addOrUpdate(Instant now, const WorkerReport &report);
     void remove(const WorkerIncarnation &incarnation);
+    /** True if an incarnation of the worker, other than a claim, has been removed. */
+    [[nodiscard]] bool wasRemoved(const WorkerId &worker) const
+    {
+        return m_removedNames.contains(worker);
+    }
     /** True if a worker of \a pool could run a task of the step if it were idle and usable, claims
      * left out. Takes no longer with more workers, unless their reports have changed since the last
      * call. */
@@ -259,6 +264,7 @@
      * removed and registers again has seen its former ones. */
     FenceRevision m_lastRevision;
     std::map<WorkerIncarnation, PooledWorker> m_workers;
+    std::set<WorkerId> m_removedNames;
     CapacityIndex m_capacities;
     bool m_areCapacitiesCurrent = true;
     WorkerPace m_averagePace;
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -452,3 +452,54 @@
         CHECK(bench.takeStarts().size() == 1);
     }
 }
+
+// Guards against two runs at a time: a renewal for the former incarnation had granted the next one
+// a longer lease than the leader reckoned with.
+TEST_CASE("A run in a restarted worker lapses only after the longest lease that a worker accepts")
+{
+    constexpr std::int64_t LongestLease = 10'000;
+    constexpr std::int64_t Step = 500;
+    LeaderBench bench;
+    startJob(bench);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)}, {});
+    bench.sendHeartbeat("v", 2);
+    std::optional<CallWorker> poll = bench.takeLeaseRenewal("v");
+    while (poll.has_value() && poll->incarnation != makeIncarnation("v", 2))
+        poll = bench.takeLeaseRenewal("v");
+    REQUIRE(poll.has_value());
+    bench.answerWithRuns(*poll, {}, {});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    for (std::int64_t silence = 0; silence + Step < LongestLease; silence += Step) {
+        bench.advance(Step);
+        bench.sendHeartbeat("w");
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answer(*renewal, WorkerVerdict::NoAnswer);
+        CHECK(bench.takeStarts().empty());
+    }
+}
+
+// Guards against two runs at a time: a start for an incarnation that has left was executed by the
+// next one, beside the run that had replaced it.
+TEST_CASE("A worker under the name of one that has left is polled before it gets runs")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    const CallWorker late = bench.takeStarts().at(0);
+    bench.answer(late, WorkerVerdict::NoAnswer);
+    bench.sendHeartbeat("v", 1, true);
+    bench.call(WorkerLeave{WorkerId("v")});
+    while (bench.takeLeaseRenewal("v").has_value()) {
+    }
+    bench.sendHeartbeat("v", 2);
+    CHECK(bench.takeStarts().empty());
+    const std::optional<CallWorker> poll = bench.takeLeaseRenewal("v");
+    REQUIRE(poll.has_value());
+    CHECK(poll->leaseUntil == 0);
+    CHECK(fencingTokenOf(*poll) > fencingTokenOf(late));
+    bench.answerWithRuns(*poll, {}, {});
+    CHECK(bench.takeStarts().size() == 1);
+}
