--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -291,7 +291,7 @@
         return;
     }
     if (call.kind != OrderKind::LeaseRenewal && WorkerPool::isOwnClock(worker, now, answer.clock))
-        worker.aliveAt = std::max(*worker.aliveAt, call.sentAt);
+        worker.aliveAt = std::max(worker.aliveAt.value_or(call.sentAt), call.sentAt);
     worker.unansweredOrders = 0;
     if (worker.isFailing)
         out.note(call.incarnation.worker.value(), "worker answers again");
@@ -552,7 +552,8 @@
             = std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto &entry) {
                   return entry.second.isCallInFlight && entry.second.mayDelayAcknowledgement(now);
               });
-    if (mustWait && hasStartInFlight && now - *worker.acknowledgementWaitsSince < MaxRenewalDelay)
+    if (mustWait && hasStartInFlight
+        && now - worker.acknowledgementWaitsSince.value_or(now) < MaxRenewalDelay)
         return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
     if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled()
