Request no more advice for a step that is held back and has enough tickets

Cause: a step that waited for the limit of concurrent starts, or for its team's cap, requested advice in each plan, although workers with valid tickets had room for all its tasks. Between 8 and 33 s 1,548 urgent steps repeated 9,563 requests, 6,270 of them within 0.3 s of an answer that approved eight workers or more and without a start in between. Requests are messages of their own, so the leader, whose processor was full, had 400 to 550 of them a second beside some 500 starts a second; in the burst before it had made 990 starts a second. The more steps waited, the less was started.

Change: a step that is held back by the cap or the limit requests further advice only if the workers with a valid ticket lack room for the tasks that wait. What waits for room asks as before.

The new test fails without the change (both kinds of step).

--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -108,10 +108,8 @@
     // Steps that fit no worker stay in the queue, and may be many.
     if (!m_pool.canHold(job.terms.pool, step))
         return;
-    if (step.isGang)
-        planGang(now, ready, job, handler);
-    else
-        planTasks(now, ready, job, handler);
+    const bool isHeldBack = step.isGang ? planGang(now, ready, job, handler)
+                                        : planTasks(now, ready, job, handler);
     const std::vector<std::uint32_t> idle = idleTasks(ready.step, ready.reason, job);
     if (idle.empty()) {
         m_queue.updateStep(now, ready.step, job);
@@ -119,50 +117,55 @@
     }
     const bool mayStartSoon
             = lookahead.claim(job, step, m_advice.adviceFor(now, ready.step), idle.size());
-    if (job.terms.advice.has_value() && mayStartSoon)
-        requestAdvice(now, ready.step, job, out);
+    if (!job.terms.advice.has_value() || !mayStartSoon)
+        return;
+    // Further tickets would not let it start any earlier.
+    if (isHeldBack && hasRoomWithTickets(now, ready.step, job, idle.size()))
+        return;
+    requestAdvice(now, ready.step, job, out);
 }
 
-void StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
+bool StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
                              StartHandler &handler)
 {
     const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
     for (const std::uint32_t index : idleTasks(ref, ready.reason, job)) {
         if (!m_usage.isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
-            return;
+            return true;
         const TaskProgress &task = job.occurrences.at(ref.occurrence).steps[ref.step][index];
         // Running it on another worker shows whether the task or the worker is at fault.
         const WorkerIncarnation *const failedOn = task.failures > 0 ? &task.worker : nullptr;
         const PooledWorker *const worker = choose(now, ref, job, {nullptr, failedOn, {}});
         if (worker == nullptr)
-            return;
+            return false;
         const WorkerIncarnation incarnation = worker->report.incarnation;
         --m_startsLeft;
         handler.onStartDecided({ref, index}, task.lastRun.next(), incarnation,
                                ticketOf(now, ref, job, incarnation));
     }
+    return false;
 }
 
-void StartPlanner::planGang(Instant now, const ReadyStep &ready, const Job &job,
+bool StartPlanner::planGang(Instant now, const ReadyStep &ready, const Job &job,
                             StartHandler &handler)
 {
     const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
     if (!hasIdleTasks(ref, ready.reason, job))
-        return;
+        return false;
     Resources all;
     for (std::uint32_t index = 0; index < step.count; ++index)
         all += step.perTask;
     if (!m_usage.isWithinCap(job.terms.team, all) || !isAdmitted())
-        return;
+        return true;
     const std::map<RackId, std::uint64_t> roomByRack = findGangRoom(now, job, step);
     std::uint64_t room = 0;
     for (const auto &[rack, members] : roomByRack)
         room += members;
     // Placing the members one by one is costly, so it is not tried in vain.
     if (room < step.count)
-        return;
+        return false;
     std::vector<WorkerIncarnation> places;
     bool isPlaced = false;
     if (step.prefersOneRack) {
@@ -171,7 +174,7 @@
                     || (members >= step.count && placeGang(now, ref, job, &rack, places));
     }
     if (!isPlaced && !placeGang(now, ref, job, nullptr, places))
-        return;
+        return false;
     // A gang is never split, even if it exceeds the remaining starts.
     m_startsLeft -= std::min<std::size_t>(m_startsLeft, step.count);
     // All members of a gang share one run number, higher than any earlier number of a member.
@@ -181,6 +184,23 @@
     for (std::uint32_t index = 0; index < step.count; ++index)
         handler.onStartDecided({ref, index}, last.next(), places[index],
                                ticketOf(now, ref, job, places[index]));
+    return false;
+}
+
+bool StartPlanner::hasRoomWithTickets(Instant now, const StepRef &ref, const Job &job,
+                                      std::uint64_t tasks)
+{
+    const StepSpec &step = job.spec.steps[ref.step];
+    std::uint64_t room = 0;
+    m_advice.adviceFor(now, ref).forEachTicketHolder([&](const WorkerId &name) {
+        const PooledWorker *const worker = m_pool.findNewestIncarnation(name);
+        if (worker == nullptr || !costOn(now, *worker, ref, job, {}).has_value())
+            return;
+        const std::uint64_t here
+                = step.isBestEffort ? 1 : wholeTasksIn(worker->freeCapacity(), step.reserved());
+        room += step.maxPerWorker > 0 ? std::min<std::uint64_t>(here, step.maxPerWorker) : here;
+    });
+    return room >= tasks;
 }
 
 std::map<RackId, std::uint64_t> StartPlanner::findGangRoom(Instant now, const Job &job,
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -82,8 +82,13 @@
 
     void planStep(Instant now, const ReadyStep &ready, AdviceLookahead &lookahead,
                   StartHandler &handler, Outbox &out);
-    void planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
-    void planGang(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
+    /** Both start what can start of the step, and return true if the team's cap or the admission
+     * limit holds the rest back. */
+    bool planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
+    bool planGang(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
+    /** True if the workers with a valid ticket for the step have room for \a tasks of its tasks. */
+    [[nodiscard]] bool hasRoomWithTickets(Instant now, const StepRef &ref, const Job &job,
+                                          std::uint64_t tasks);
     /** By rack, how many of the gang's members its workers have room for at most. */
     [[nodiscard]] std::map<RackId, std::uint64_t> findGangRoom(Instant now, const Job &job,
                                                                const StepSpec &step);
--- a/tests/control/jobs/start_planner_test.cpp
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -146,6 +146,74 @@
     return resources;
 }
 
+/** A planner whose admission limit is reached, and one step that waits for it. Each of the 40
+ * workers has room for one of its tasks. */
+class PlannerBench
+{
+public:
+    PlannerBench(const std::string &job, const StepSpec &step)
+        : m_planner(m_data, m_pool, m_advice, m_admission, std::make_unique<PackingCostPolicy>(),
+                    std::make_unique<DeadlineStepOrder>())
+    {
+        m_data.document = makeDocument({}, Advice);
+        m_admission.onStartOrdered(m_now, CallId(1));
+        for (int number = 0; number < 40; ++number) {
+            WorkerReport report;
+            report.incarnation = makeIncarnation("w" + std::to_string(number));
+            report.pool = PoolId("pool");
+            report.capacity = cores(200);
+            report.capacity.memory = Mebibytes(1000);
+            WorkerPool::setClock(m_pool.addOrUpdate(m_now, report), m_now, 1);
+        }
+        JobAccepted record = makeJob(job, {step});
+        record.terms.advice = Advice;
+        jobstore::apply(m_data, record, nullptr);
+        m_planner.jobChanged(m_now, record.id, m_data.jobs.at(record.id));
+    }
+
+    /** Plans after a change, and returns the requests for advice that this caused. */
+    std::vector<AdviceRequest> plan()
+    {
+        m_planner.markChanged();
+        m_planner.plan(m_now, m_starts, m_out);
+        std::vector<AdviceRequest> requests;
+        for (const Effect &effect : m_out.take()) {
+            if (const auto *request = std::get_if<AdviceRequest>(&effect))
+                requests.push_back(*request);
+        }
+        return requests;
+    }
+    /** Answers the request: the first \a count workers get a ticket. */
+    void approve(std::uint64_t request, int count)
+    {
+        AdviceResponse response{AdviceRequestId(request), true, {}, Advice.validity};
+        for (int number = 0; number < count; ++number)
+            response.good.push_back({WorkerId("w" + std::to_string(number)), "ticket"});
+        m_advice.receive(m_now, response, m_out);
+    }
+    /** Reserves all capacity of the worker. */
+    void fill(const std::string &worker)
+    {
+        m_pool.find(makeIncarnation(worker))->reserved = cores(200);
+    }
+    void expireTickets()
+    {
+        m_now = m_now + Advice.validity;
+        m_admission.onStartOrdered(m_now, CallId(2));
+    }
+    [[nodiscard]] std::size_t starts() const { return m_starts.count; }
+
+private:
+    Instant m_now{100'000};
+    JobStoreData m_data;
+    WorkerPool m_pool{Instant()};
+    AdviceCoordinator m_advice{HostId("self")};
+    DelayAdmission m_admission{{.initialLimit = 1}};
+    StartPlanner m_planner;
+    StartCounter m_starts;
+    Outbox m_out{false};
+};
+
 } // namespace
 
 // Guards against accepted jobs that don't start on free capacity, because tasks that can't use it
@@ -268,3 +336,38 @@
     planner.plan(Now, starts, out);
     CHECK(starts.count == Members);
 }
+
+// Guards against an overload that outlasts its cause: steps that waited for the limit of concurrent
+// starts requested advice again and again, which took the control thread's time from the starts.
+TEST_CASE("A step with enough tickets that is held back requests no further advice")
+{
+    constexpr std::uint32_t Tasks = 3;
+    const std::string job = "00000000000000aa";
+    StepSpec step = makeStep(Tasks, 200);
+    step.isGang = GENERATE(false, true);
+    PlannerBench bench(job, step);
+    REQUIRE(bench.plan().size() == 1);
+    SECTION("The tickets suffice")
+    {
+        bench.approve(1, 3);
+        CHECK(bench.plan().empty());
+        CHECK(bench.starts() == 0);
+    }
+    SECTION("The tickets have expired")
+    {
+        bench.approve(1, 3);
+        bench.expireTickets();
+        CHECK(bench.plan().size() == 1);
+    }
+    SECTION("Too few workers have been approved")
+    {
+        bench.approve(1, 2);
+        CHECK(bench.plan().size() == 1);
+    }
+    SECTION("A worker with a ticket has no room left")
+    {
+        bench.approve(1, 3);
+        bench.fill("w0");
+        CHECK(bench.plan().size() == 1);
+    }
+}
