--- a/tests/soak/emulated_platform.h
+++ b/tests/soak/emulated_platform.h
@@ -32,6 +32,17 @@
     HttpListener m_http;
 };
 
+/** How a heartbeat of another writer differs from that of a healthy worker. */
+struct ForeignHeartbeat
+{
+    /** Which field makes it invalid; any number. */
+    std::int64_t defect = 0;
+    /** True for another worker's id at the healthy worker's address. */
+    bool hasOtherId = false;
+    /** Added to the birth time. */
+    std::int64_t birthShiftMs = 0;
+};
+
 struct PlatformOptions
 {
     int workers = 12;
@@ -60,10 +71,17 @@
     /** Safe from any thread. */
     std::vector<std::unique_ptr<EmulatedWorker>> &workers() { return m_workers; }
     [[nodiscard]] std::string adviserAddress() const;
+    /** Safe from any thread. Sends the next heartbeat of a worker ahead of its time. */
+    void sendHeartbeat(std::size_t index);
+    /** Safe from any thread. Sends what another writer says about a worker. */
+    void sendForeignHeartbeat(std::size_t index, const ForeignHeartbeat &foreign);
+    /** Safe from any thread. Sends the leave call of the worker's incarnation born at \a bornMs. */
+    void sendLeave(std::size_t index, std::int64_t bornMs);
 
 private:
     void run();
-    void sendHeartbeat(std::size_t index);
+    void post(std::size_t index, const std::string &path, const std::string &body,
+              HttpClient::Completion completion);
 
     PlatformOptions m_options;
     EmulatedAdviser m_adviser;
--- a/tests/soak/emulated_worker.h
+++ b/tests/soak/emulated_worker.h
@@ -21,6 +21,9 @@
     Silent,
     /** Refuses some orders without executing them, and executes others without a response. */
     LosesResponses,
+    /** Executes some requests without a response: part of them at once, the others up to seconds
+     * later, in whichever incarnation is there by then. */
+    ExecutesLate,
 };
 
 /**
@@ -47,8 +50,14 @@
     void setFault(WorkerFault fault);
 
     [[nodiscard]] std::string id() const { return m_id; }
+    /** When the present incarnation started, by the wall clock in milliseconds. */
+    std::int64_t bornMs();
+    /** A draining worker says so in its heartbeats and continues to serve. */
+    void setDraining(bool isDraining);
     /** The body of the next heartbeat; empty while the worker is silent. */
     std::string nextHeartbeatBody();
+    /** The content of the latest heartbeat, for one that another writer derives from it. */
+    Json::Value lastHeartbeat();
 
     void handleRequest(HttpToken token, HttpRequest request) override;
     void handleDisconnect(HttpToken) override {}
@@ -67,6 +76,10 @@
         std::string task;
         std::uint64_t run = 0;
         const char *ending = "";
+        /** How often the task had started by then, on any worker. */
+        std::uint64_t startsBefore = 0;
+        /** True if the lease has lapsed since the end. */
+        bool hasLapsed = false;
     };
 
     struct PendingRenewal
@@ -75,8 +88,20 @@
         std::int64_t untilMs = 0;
     };
 
+    /** A request that is executed without a response at \a at. */
+    struct LateRequest
+    {
+        Instant at;
+        HttpRequest request;
+        std::int64_t bornMs = 0;
+    };
+
     [[nodiscard]] std::int64_t clockMs() const;
+    [[nodiscard]] Json::Value heartbeat() const;
     void handle(HttpToken token, const HttpRequest &request);
+    /** Handles a request under `WorkerFault::ExecutesLate`. */
+    void handleLate(HttpToken token, const HttpRequest &request);
+    void executeDueRequests();
     /** Handles a request under `WorkerFault::LosesResponses`. */
     void handleUnreliably(HttpToken token, const HttpRequest &request);
     void answer(HttpToken token, int status, Json::Value json);
@@ -114,6 +139,11 @@
     /** True while the responses of the request being handled are not sent. */
     bool m_isResponseLost = false;
     std::vector<std::pair<HttpToken, HttpRequest>> m_delayedRequests;
+    bool m_isDraining = false;
+    /** These outlast the incarnation to which they were sent. */
+    std::vector<LateRequest> m_lateRequests;
+    /** How the request being handled is executed. */
+    Delivery m_delivery = Delivery::Answered;
 };
 
 /** Encodes the resources and run times of a job's steps as the payload that workers read. */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -30,6 +30,10 @@
     /** True if workers also lose responses, together with losses of all keepers. The faults of a
      * seed differ from those without this. */
     bool losesResponses = false;
+    /** True if messages also reach a worker's next incarnation: late orders, acknowledgements and
+     * leave calls, beside heartbeats of other writers. The faults of a seed differ from those
+     * without this. */
+    bool mixesIncarnations = false;
 };
 
 /**
@@ -78,12 +82,18 @@
     void silenceWorker();
     /** Makes part of the workers lose responses, and often kills all keepers meanwhile. */
     void loseResponses();
+    /** Makes part of the workers execute orders late, and starts some of them again meanwhile. */
+    void mixIncarnations();
+    /** Lets a worker drain and start again under its name; its leave call arrives later. */
+    void leaveLate(std::size_t worker);
+    void sendForeignHeartbeats();
     void changeConfiguration();
     void rotateKeys();
     void reloadSettings();
 
     bool putConfiguration(std::size_t control);
     [[nodiscard]] std::string configurationDocument(std::uint64_t version) const;
+    std::size_t randomWorker();
     std::string randomHost();
     std::string randomKeeper();
     /** True if all hosts run and have had time to catch up since the last fault. */
