--- a/core/job_records.h
+++ b/core/job_records.h
@@ -83,7 +83,6 @@
 struct Job
 {
     JobTerms terms;
-    JobSubmission submission;
     JobSpec spec;
     /** When it was accepted, by the wall clock of the leader at that time. */
     Milliseconds acceptedAt;
@@ -92,12 +91,14 @@
     std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t occurrencesBegun = 0;
     std::uint32_t occurrencesDone = 0;
+    /** Empty for a job that a former version has stored. */
+    JobSubmission submission;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.terms, self.submission, self.spec, self.acceptedAt, self.state,
-                        self.occurrences, self.occurrencesBegun, self.occurrencesDone);
+        return std::tie(self.terms, self.spec, self.acceptedAt, self.state, self.occurrences,
+                        self.occurrencesBegun, self.occurrencesDone, self.submission);
     }
 
     [[nodiscard]] bool isOver() const
@@ -109,7 +110,7 @@
 /** The state that a cell's keepers replicate: configuration, jobs, workers. */
 struct JobStoreData
 {
-    std::optional<ConfigDocument> document;
+    SharedDocument document;
     std::map<JobId, Job> jobs;
     std::map<WorkerIncarnation, WorkerReport> workers;
     /** The most recent incarnations that have left, oldest first. */
@@ -125,7 +126,8 @@
 /** A configuration was accepted; it is in force if its version is the highest. */
 struct DocumentAccepted
 {
-    ConfigDocument document;
+    /** A record without a document changes nothing. */
+    SharedDocument document;
 
     template <typename Self>
     static auto fields(Self &self)
@@ -138,14 +140,14 @@
 {
     JobId id;
     JobTerms terms;
-    JobSubmission submission;
     JobSpec spec;
     Milliseconds acceptedAt;
+    JobSubmission submission;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.id, self.terms, self.submission, self.spec, self.acceptedAt);
+        return std::tie(self.id, self.terms, self.spec, self.acceptedAt, self.submission);
     }
 };
 
@@ -251,7 +253,8 @@
     }
 };
 
-/** The worker announced its shutdown; messages sent earlier may still arrive and are ignored. */
+/** The incarnation has announced its shutdown, or its successor has answered; messages that it sent
+ * earlier may still arrive and are ignored. */
 struct WorkerLeft
 {
     WorkerIncarnation incarnation;
