Send large messages to a peer beside the small ones

Cause: a new configuration makes messages of some MiB. Orders for workers, leases among them, waited behind these in the one sender of each peer.

The log's protocol and calls tolerate that others overtake them; all other messages stay in order.

Test: peer_link_test "Small messages to a peer don't wait for a large one".

--- a/servers/peer_link.cpp
+++ b/servers/peer_link.cpp
@@ -12,6 +12,8 @@
 
 constexpr char DeliverMethod[] = "deliver";
 constexpr long CallTimeoutMilliseconds = 1000;
+/** A message of some MiB takes up to a second on a busy link, and nothing else waits for it. */
+constexpr long LargeCallTimeoutMilliseconds = 5000;
 constexpr std::size_t MaxQueuedMessages = 2000;
 constexpr std::size_t SmallMessageBytes = 512;
 /** Approximate size of one run in a worker's list. */
@@ -53,6 +55,30 @@
     return bytes;
 }
 
+std::size_t encodedBytes(const SharedDocument &document)
+{
+    constexpr std::size_t Copies = 2; // As its source and as the parsed values.
+    return document.has_value() ? Copies * document->source.size() : 0;
+}
+
+/** True for a message that may take so long to send that the small messages to the same peer, such
+ * as orders for workers, must not wait for it. The protocols of these messages tolerate that others
+ * overtake them. */
+bool isLarge(const PeerMessage &message)
+{
+    if (const auto *entries = std::get_if<AppendRequest>(&message))
+        return !entries->entries.empty() && encodedBytes(message) > MaxCallBytes;
+    if (const auto *request = std::get_if<RelayCallRequest>(&message)) {
+        const auto *const put = std::get_if<PutConfiguration>(&request->call);
+        return put != nullptr && encodedBytes(put->document) > MaxCallBytes;
+    }
+    if (const auto *response = std::get_if<RelayCallResponse>(&message)) {
+        const auto *const report = std::get_if<ConfigurationReport>(&response->answer);
+        return report != nullptr && report->source.size() > MaxCallBytes;
+    }
+    return std::holds_alternative<InstallSnapshot>(message);
+}
+
 /** Returns true for "ip:port". Checked before a sender is created, so that a malformed host name
  * does not start a thread. */
 bool isAddress(const std::string &host)
@@ -146,17 +172,39 @@
     , m_dispatcher(DeliverMethod, [this](const std::string &batch) { receive(batch); })
 {
     for (const auto &[peer, address] : m_addresses.addresses)
-        addSender(peer, address);
+        addSender(m_senders, peer, address, CallTimeoutMilliseconds);
 }
 
-PeerLink::Sender &PeerLink::addSender(const HostId &peer, const std::string &address)
+PeerLink::Sender &PeerLink::addSender(Senders &senders, const HostId &peer,
+                                      const std::string &address, long timeout)
 {
-    const RpcTarget target{"http://" + address + "/rpc", m_addresses.fleetSecret,
-                           CallTimeoutMilliseconds};
-    return *m_senders.emplace(peer, std::make_unique<Sender>(m_addresses.self, peer, target))
+    const RpcTarget target{"http://" + address + "/rpc", m_addresses.fleetSecret, timeout};
+    return *senders.emplace(peer, std::make_unique<Sender>(m_addresses.self, peer, target))
                     .first->second;
 }
 
+PeerLink::Sender *PeerLink::findSender(const SendToPeer &message)
+{
+    const bool isBulk = isLarge(message.message);
+    Senders &senders = isBulk ? m_largeSenders : m_senders;
+    const auto sender = senders.find(message.to);
+    if (sender != senders.end())
+        return sender->second.get();
+    const auto listed = m_addresses.addresses.find(message.to);
+    const bool isListed = listed != m_addresses.addresses.end();
+    if (!isListed && !m_addresses.hostsAreAddresses)
+        return nullptr;
+    if (!isListed && !isAddress(message.to.value())) {
+        logWarning(message.to.value(),
+                   "peer link: message dropped: the host name is not an address (ip:port)");
+        return nullptr;
+    }
+    Sender &added = addSender(senders, message.to, isListed ? listed->second : message.to.value(),
+                              isBulk ? LargeCallTimeoutMilliseconds : CallTimeoutMilliseconds);
+    added.activate();
+    return &added;
+}
+
 PeerLink::~PeerLink() = default;
 
 void PeerLink::start()
@@ -167,24 +215,17 @@
 
 void PeerLink::stop()
 {
-    for (auto &[peer, sender] : m_senders)
-        sender->stop();
+    for (Senders *const senders : {&m_senders, &m_largeSenders}) {
+        for (auto &[peer, sender] : *senders)
+            sender->stop();
+    }
 }
 
 void PeerLink::carryOut(Effect effect)
 {
     auto message = std::get<SendToPeer>(std::move(effect));
-    const auto sender = m_senders.find(message.to);
-    if (sender != m_senders.end()) {
-        sender->second->put(std::move(message));
-    } else if (m_addresses.hostsAreAddresses && !isAddress(message.to.value())) {
-        logWarning(message.to.value(),
-                   "peer link: message dropped: the host name is not an address (ip:port)");
-    } else if (m_addresses.hostsAreAddresses) {
-        Sender &added = addSender(message.to, message.to.value());
-        added.activate();
-        added.put(std::move(message));
-    }
+    if (Sender *const sender = findSender(message))
+        sender->put(std::move(message));
 }
 
 std::string PeerLink::dispatch(const std::string &request)
--- a/servers/peer_link.h
+++ b/servers/peer_link.h
@@ -31,7 +31,8 @@
  * Owns the senders to the other entry hosts, and receives their messages. Each peer has its
  * own sending thread, so that an unresponsive peer does not delay the others; messages queued
  * during a call are batched into the next. A message that can't be sent is dropped, since the
- * protocols retransmit where needed. Thread safety: carryOut from the control thread, dispatch from
+ * protocols retransmit where needed. Large messages have a sender of their own, so that small ones
+ * to the same peer overtake them. Thread safety: carryOut from the control thread, dispatch from
  * any thread.
  */
 class PeerLink final : public EffectHandler
@@ -50,14 +51,21 @@
 private:
     class Sender;
 
-    Sender &addSender(const HostId &peer, const std::string &address);
+    using Senders = std::map<HostId, std::unique_ptr<Sender>>;
+
+    Sender &addSender(Senders &senders, const HostId &peer, const std::string &address,
+                      long timeout);
+    /** The sender for the message, started if need be; null if its receiver has no address. */
+    Sender *findSender(const SendToPeer &message);
     void receive(const std::string &text);
     /** Returns false if the batch as a whole is malformed. Drops messages that can't be decoded. */
     static bool decodeBatch(std::string_view text, std::vector<PeerMessageReceived> &events);
 
     PeerAddresses m_addresses;
     EventSink &m_events;
-    std::map<HostId, std::unique_ptr<Sender>> m_senders;
+    Senders m_senders;
+    /** Senders of large messages, made when there is a first one. */
+    Senders m_largeSenders;
     std::mutex m_dispatchMutex;
     RpcDispatcher m_dispatcher;
 };
--- a/tests/servers/peer_link_test.cpp
+++ b/tests/servers/peer_link_test.cpp
@@ -1,9 +1,15 @@
 #include "servers/peer_link.h"
 
+#include "drivers/http_listener.h"
+
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <chrono>
 #include <filesystem>
+#include <future>
 #include <iterator>
+#include <unistd.h>
 
 using namespace gentiancross;
 
@@ -14,6 +20,65 @@
     void post(EventPayload) override {}
 };
 
+constexpr char PeerIp[] = "127.9.9.5";
+
+std::uint16_t peerPort()
+{
+    // Test programs that run in parallel must not use the same port.
+    return static_cast<std::uint16_t>(20'000 + ::getpid() % 20'000);
+}
+
+/** A peer that leaves large calls unanswered. */
+class BusyPeer final : public HttpHandler
+{
+public:
+    BusyPeer()
+        : m_listener(*this, HttpListener::MaxPeerBodyBytes)
+    {
+        REQUIRE(m_listener.start(PeerIp, peerPort()).ok());
+    }
+
+    ~BusyPeer() override { m_listener.stop(); }
+
+    void handleRequest(HttpToken token, HttpRequest request) override
+    {
+        constexpr std::size_t LargeBytes = 1 << 20;
+        if (request.body.size() > LargeBytes) {
+            m_large.set_value();
+            return;
+        }
+        HttpResponse response;
+        response.body = std::make_shared<const std::string>();
+        m_listener.respond(token, std::move(response));
+        if (!m_hasSmall.exchange(true))
+            m_small.set_value(m_broken);
+    }
+
+    void handleDisconnect(HttpToken) override { ++m_broken; }
+
+    std::future<void> large() { return m_large.get_future(); }
+    /** The number of large calls that were given up before the first small one came. */
+    std::future<int> small() { return m_small.get_future(); }
+
+private:
+    HttpListener m_listener;
+    std::promise<void> m_large;
+    std::promise<int> m_small;
+    std::atomic<bool> m_hasSmall = false;
+    std::atomic<int> m_broken = 0;
+};
+
+PeerMessage makeLargeMessage()
+{
+    ConfigDocument document;
+    document.source = std::string(2 << 20, 'x');
+    AppendRequest append;
+    append.entries.push_back(std::make_shared<const LogEntry>(
+            LogEntry{LogIndex(1), Term(1), ProposalId(),
+                     ReplicatedCommand(JobChanges{{DocumentAccepted{document}}})}));
+    return append;
+}
+
 std::ptrdiff_t countThreads()
 {
     return std::distance(std::filesystem::directory_iterator("/proc/self/task"),
@@ -35,3 +100,21 @@
     CHECK(countThreads() == before + 1);
     link.stop();
 }
+
+// Guards against orders to workers that expire while a configuration is sent to the same keeper.
+TEST_CASE("Small messages to a peer don't wait for a large one")
+{
+    constexpr std::chrono::seconds Patience{20};
+    BusyPeer peer;
+    std::future<void> large = peer.large();
+    std::future<int> small = peer.small();
+    NullEventSink events;
+    PeerLink link({HostId("127.0.0.1:1"), {}, "", true}, events);
+    const HostId name(std::string(PeerIp) + ':' + std::to_string(peerPort()));
+    link.carryOut(SendToPeer{name, makeLargeMessage(), 0});
+    REQUIRE(large.wait_for(Patience) == std::future_status::ready);
+    link.carryOut(SendToPeer{name, TimeoutNow{}, 0});
+    REQUIRE(small.wait_for(Patience) == std::future_status::ready);
+    CHECK(small.get() == 0);
+    link.stop();
+}
