Let one more restart test answer the claim, and test what a leave call costs

"A former leader's run is stopped in the worker's next incarnation..." asserted that a heartbeat alone moves runs, and failed since; now the next incarnation answers its poll first. The check of unconfirmed claims in the store also looks before the claim has expired. New: runs of a worker that has left start elsewhere at once, or with the lease if its name was used before.

--- a/tests/control/jobs/foreign_heartbeat_test.cpp
+++ b/tests/control/jobs/foreign_heartbeat_test.cpp
@@ -230,7 +230,8 @@
     LeaderBench bench;
     startJob(bench);
     bench.call(makeForeign(name, Born + 5, "w:1"));
-    CHECK(bench.leader().store().workers.size() == 2);
+    CHECK_FALSE(isTracked(bench, makeIncarnation(name, Born + 5)));
+    CHECK(isTracked(bench, makeIncarnation("w", Born)));
     bench.advance(20'000);
     CHECK_FALSE(isTracked(bench, makeIncarnation(name, Born + 5)));
 }
@@ -295,3 +296,32 @@
     CHECK(bench.takeStarts().empty());
     CHECK(isTracked(bench, makeIncarnation("w", Born)));
 }
+
+// Guards against tasks that wait for a worker which has left and ended all its runs.
+TEST_CASE("Runs of a worker that has left start elsewhere at once, or with the lease if its name "
+          "was used before")
+{
+    const bool wasUsed = GENERATE(false, true);
+    LeaderBench bench;
+    bench.configure();
+    if (wasUsed) {
+        bench.sendHeartbeat("w", 1);
+        bench.sendHeartbeat("w", Born);
+        bench.confirm("w", Born);
+    }
+    bench.advance(5000); // Any lease of an earlier leader has ended.
+    bench.sendHeartbeat("w", Born);
+    bench.submit(job, {makeStep(1, 800)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    bench.sendHeartbeat("w", Born, true);
+    bench.sendHeartbeat("v");
+    bench.call(WorkerLeave{WorkerId("w")});
+    CHECK(bench.takeStarts().size() == (wasUsed ? 0 : 1));
+    if (!wasUsed)
+        return;
+    const Instant left = bench.now();
+    REQUIRE(bench.startElsewhere("w", "v").size() == 1);
+    CHECK(bench.now() - left <= WorkerPool::LeaseLength + Milliseconds(500));
+}
--- a/tests/control/jobs/run_tracker_test.cpp
+++ b/tests/control/jobs/run_tracker_test.cpp
@@ -200,6 +200,7 @@
     LeaderBench second(first.leader().store());
     second.sendHeartbeat("v", 2);
     second.sendHeartbeat("w");
+    second.confirm("v", 2);
     CHECK(second.takeStarts().empty());
     const std::vector<CallWorker> stops = second.takeStops();
     REQUIRE(stops.size() == 1);
