Make the test of large messages fail on the former code

The first form of "Small messages to a peer don't wait for a large one" passed on the former PeerLink too, since its listener does not report a connection that a caller gives up while it waits for a response.

--- a/tests/servers/peer_link_test.cpp
+++ b/tests/servers/peer_link_test.cpp
@@ -1,14 +1,13 @@
 #include "servers/peer_link.h"
 
-#include "drivers/http_listener.h"
-
+#include <arpa/inet.h>
+#include <array>
 #include <catch2/catch.hpp>
-
-#include <atomic>
-#include <chrono>
+#include <cerrno>
 #include <filesystem>
-#include <future>
 #include <iterator>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace gentiancross;
@@ -22,50 +21,55 @@
 
 constexpr char PeerIp[] = "127.9.9.5";
 
-std::uint16_t peerPort()
-{
-    // Test programs that run in parallel must not use the same port.
-    return static_cast<std::uint16_t>(20'000 + ::getpid() % 20'000);
-}
-
-/** A peer that leaves large calls unanswered. */
-class BusyPeer final : public HttpHandler
+/** A peer that accepts connections and never reads from them. */
+class BusyPeer
 {
 public:
     BusyPeer()
-        : m_listener(*this, HttpListener::MaxPeerBodyBytes)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
-        REQUIRE(m_listener.start(PeerIp, peerPort()).ok());
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        ::inet_pton(AF_INET, PeerIp, &address.sin_addr);
+        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(m_socket, 8) == 0);
+        socklen_t length = sizeof address;
+        REQUIRE(::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+        m_name = std::string(PeerIp) + ':' + std::to_string(ntohs(address.sin_port));
     }
-
-    ~BusyPeer() override { m_listener.stop(); }
-
-    void handleRequest(HttpToken token, HttpRequest request) override
+    BusyPeer(const BusyPeer &) = delete;
+    BusyPeer &operator=(const BusyPeer &) = delete;
+    ~BusyPeer()
     {
-        constexpr std::size_t LargeBytes = 1 << 20;
-        if (request.body.size() > LargeBytes) {
-            m_large.set_value();
-            return;
-        }
-        HttpResponse response;
-        response.body = std::make_shared<const std::string>();
-        m_listener.respond(token, std::move(response));
-        if (!m_hasSmall.exchange(true))
-            m_small.set_value(m_broken);
+        for (const int connection : m_connections)
+            ::close(connection);
+        ::close(m_socket);
     }
 
-    void handleDisconnect(HttpToken) override { ++m_broken; }
+    [[nodiscard]] HostId name() const { return HostId(m_name); }
+    /** Waits for a connection and returns it. */
+    int accept()
+    {
+        m_connections.push_back(::accept(m_socket, nullptr, nullptr));
+        REQUIRE(m_connections.back() >= 0);
+        return m_connections.back();
+    }
 
-    std::future<void> large() { return m_large.get_future(); }
-    /** The number of large calls that were given up before the first small one came. */
-    std::future<int> small() { return m_small.get_future(); }
+    /** True unless the caller has closed the connection. */
+    static bool isOpen(int connection)
+    {
+        std::array<char, 65'536> bytes = {};
+        ssize_t count = 0;
+        do {
+            count = ::recv(connection, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        } while (count > 0);
+        return count < 0 && errno == EAGAIN;
+    }
 
 private:
-    HttpListener m_listener;
-    std::promise<void> m_large;
-    std::promise<int> m_small;
-    std::atomic<bool> m_hasSmall = false;
-    std::atomic<int> m_broken = 0;
+    int m_socket;
+    std::string m_name;
+    std::vector<int> m_connections;
 };
 
 PeerMessage makeLargeMessage()
@@ -104,17 +108,13 @@
 // Guards against orders to workers that expire while a configuration is sent to the same keeper.
 TEST_CASE("Small messages to a peer don't wait for a large one")
 {
-    constexpr std::chrono::seconds Patience{20};
     BusyPeer peer;
-    std::future<void> large = peer.large();
-    std::future<int> small = peer.small();
     NullEventSink events;
     PeerLink link({HostId("127.0.0.1:1"), {}, "", true}, events);
-    const HostId name(std::string(PeerIp) + ':' + std::to_string(peerPort()));
-    link.carryOut(SendToPeer{name, makeLargeMessage(), 0});
-    REQUIRE(large.wait_for(Patience) == std::future_status::ready);
-    link.carryOut(SendToPeer{name, TimeoutNow{}, 0});
-    REQUIRE(small.wait_for(Patience) == std::future_status::ready);
-    CHECK(small.get() == 0);
+    link.carryOut(SendToPeer{peer.name(), makeLargeMessage(), 0});
+    const int large = peer.accept();
+    link.carryOut(SendToPeer{peer.name(), TimeoutNow{}, 0});
+    peer.accept();
+    CHECK(BusyPeer::isOpen(large));
     link.stop();
 }
