--- a/core/shared_value.h
+++ b/core/shared_value.h
@@ -23,6 +23,7 @@
         : m_held(std::make_shared<const Held>(std::move(value)))
     {}
 
+    // NOLINTNEXTLINE(readability-identifier-naming): named as in std::optional
     [[nodiscard]] bool has_value() const { return m_held != nullptr; }
     /** Precondition of both: has_value(). */
     const T &operator*() const { return m_held->value; }
