--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/jobs/queue_index.h"
 #include "control/outbox.h"
 #include "core/job_calls.h"
 
@@ -9,15 +10,6 @@
 
 namespace gentiancross {
 
-/** Origin of a call: the host that has the caller's connection, and the exchange on that host. */
-struct CallOrigin
-{
-    HostId host;
-    ExchangeId exchange;
-    /** The process that has the connection; exchange ids start over with each process. */
-    SessionId session;
-};
-
 /** Receives the decisions on calls from CallHandler. Called on the control thread. */
 class CallDecisionHandler
 {
@@ -43,6 +35,8 @@
     /** Both must outlive this object. */
     CallHandler(const JobStoreData &store, CallDecisionHandler &decisions);
 
+    /** A submission that its host sends again is accepted even if its key or queue is gone by now:
+     * a refusal would be the caller's only answer. */
     void handle(Milliseconds wall, const CallOrigin &origin, const JobCall &call, Outbox &out);
     void handle(const CallOrigin &origin, const PutConfiguration &call, Outbox &out);
     void handle(const CallOrigin &origin, const GetConfiguration &call);
@@ -50,6 +44,8 @@
     void updateWaiting(const JobId &id, const Job &job);
 
 private:
+    /** True if the call has already submitted a job that is stored. */
+    [[nodiscard]] bool isRepeatedSubmission(const CallOrigin &origin, const JobCall &call) const;
     void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
     void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
@@ -58,6 +54,7 @@
 
     const JobStoreData &m_store;
     CallDecisionHandler &m_decisions;
+    QueueIndex m_queues;
     /** Accepted jobs of which no task has started, by queue. */
     std::map<QueueId, std::set<JobId>> m_waiting;
 };
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -35,6 +35,10 @@
 /** An acknowledgement that is sent later after a list may meet the worker's next incarnation. It
  * covers the time in which an end becomes durable. */
 constexpr Milliseconds MaxListAgeForAcknowledgement{200};
+/** How long a renewal waits for the answers to starts, so that it can carry an acknowledgement. */
+constexpr Milliseconds MaxRenewalDelay{100};
+/** After this time the worker gets no further starts until its acknowledgement was sent. */
+constexpr Milliseconds MaxAcknowledgementWait{300};
 
 } // namespace
 
@@ -77,15 +81,109 @@
 void RunTracker::endIncarnation(const WorkerIncarnation &incarnation, const char *reason,
                                 Outbox &out)
 {
-    PooledWorker *const worker = m_pool.find(incarnation);
+    removeIncarnation(incarnation, WorkerIncarnationEnded{incarnation}, reason, out);
+}
+
+void RunTracker::removeIncarnation(const WorkerIncarnation &incarnation, JobRecord record,
+                                   const char *reason, Outbox &out)
+{
+    const PooledWorker *const worker = m_pool.find(incarnation);
     if (worker == nullptr)
         return;
+    if (worker->isClaim()) {
+        // It has neither a record nor runs.
+        out.add(LogLine{true, incarnation.worker.value(),
+                        absl::StrCat("claim dropped: ", reason, ": born=", incarnation.born.value(),
+                                     " address=", worker->report.address)});
+        out.count(CellEvent::ClaimDropped);
+        m_pool.remove(incarnation);
+        return;
+    }
     out.note(incarnation.worker.value(), absl::StrCat("worker is gone: ", reason));
     endRuns(incarnation, RunEnding::Lost, out);
-    m_results.apply(WorkerIncarnationEnded{incarnation});
+    m_results.apply(std::move(record));
     m_pool.remove(incarnation);
 }
 
+void RunTracker::verifyClaim(Instant now, PooledWorker &worker, Outbox &out)
+{
+    const WorkerIncarnation &incarnation = worker.report.incarnation;
+    out.note(incarnation.worker.value(),
+             absl::StrCat("claim is verified: born=", incarnation.born.value(),
+                          " address=", worker.report.address));
+    worker.proof = IncarnationProof::None;
+    worker.isUnverified = true;
+    worker.nextLeaseRenewal = now;
+    // If the claim is true, orders for the former incarnation must not be executed after the poll.
+    m_pool.raiseRevision(worker);
+    for (const WorkerIncarnation &other : m_pool.conflictsWith(worker.report)) {
+        PooledWorker &contested = *m_pool.find(other);
+        if (other.worker == incarnation.worker && contested.report.address == worker.report.address)
+            contested.isContested = true;
+    }
+    sendDueOrders(now, worker, out);
+}
+
+void RunTracker::verifySuccessor(Instant now, PooledWorker &worker, Outbox &out)
+{
+    worker.isUnverified = true;
+    worker.nextLeaseRenewal = now;
+    m_pool.raiseRevision(worker);
+    WorkerPool::recordForeignLease(worker, now);
+    sendDueOrders(now, worker, out);
+}
+
+bool RunTracker::checkClaim(Instant now, PooledWorker &claimant, const WorkerAnswer &answer,
+                            Outbox &out)
+{
+    const WorkerIncarnation incarnation = claimant.report.incarnation;
+    const bool isSuperseded = m_pool.isSuperseded(claimant.report);
+    if (!isSuperseded && answer.verdict == WorkerVerdict::Done && answer.born == incarnation.born) {
+        claimant.nextLeaseRenewal = now + RetryDelay;
+        confirmClaim(now, claimant, answer.running, out);
+        return true;
+    }
+    resumeContested(claimant);
+    if (isSuperseded || answer.verdict == WorkerVerdict::OtherIncarnation
+        || (answer.born.has_value() && *answer.born != incarnation.born)) {
+        endIncarnation(incarnation, "another incarnation has answered", out);
+        return false;
+    }
+    if (answer.verdict == WorkerVerdict::Fenced)
+        m_pool.raiseRevision(claimant);
+    claimant.nextLeaseRenewal = now + IdleRetryDelay;
+    return answer.verdict != WorkerVerdict::Done; // A list without a birth may be anybody's.
+}
+
+void RunTracker::resumeContested(const PooledWorker &claimant)
+{
+    for (const WorkerIncarnation &other : m_pool.conflictsWith(claimant.report)) {
+        PooledWorker &worker = *m_pool.find(other);
+        if (other.worker != claimant.report.incarnation.worker || worker.isClaim())
+            continue;
+        worker.isContested = false;
+        if (worker.revision <= claimant.revision)
+            m_pool.raiseRevision(worker);
+    }
+}
+
+void RunTracker::confirmClaim(Instant now, PooledWorker &claimant,
+                              const std::vector<ReportedRun> &running, Outbox &out)
+{
+    const WorkerIncarnation incarnation = claimant.report.incarnation;
+    out.note(incarnation.worker.value(),
+             absl::StrCat("claim confirmed: born=", incarnation.born.value(),
+                          " address=", claimant.report.address));
+    out.count(CellEvent::ClaimConfirmed);
+    m_pool.confirm(claimant);
+    m_results.apply(WorkerReported{claimant.report});
+    for (const WorkerIncarnation &other : m_pool.conflictsWith(claimant.report)) {
+        const bool isLaterClaim = m_pool.find(other)->isClaim() && other.born > incarnation.born;
+        if (!isLaterClaim)
+            replaceIncarnation(now, other, incarnation, running, out);
+    }
+}
+
 void RunTracker::replaceIncarnation(Instant now, const WorkerIncarnation &old,
                                     const WorkerIncarnation &next,
                                     const std::vector<ReportedRun> &running, Outbox &out)
@@ -93,6 +191,10 @@
     PooledWorker *const worker = m_pool.find(old);
     if (worker == nullptr)
         return;
+    if (worker->isClaim()) {
+        endIncarnation(old, "another incarnation has been confirmed", out);
+        return;
+    }
     std::set<JobTaskRef> listed;
     for (const ReportedRun &each : running)
         listed.insert(each.task);
@@ -104,12 +206,17 @@
             moved.emplace(task, run.run);
     }
     if (old.worker == next.worker) {
-        // Orders for the former incarnation that are still in flight must not reach the next one.
         out.count(CellEvent::WorkerRestarted);
         PooledWorker &successor = *m_pool.find(next);
-        m_pool.raiseRevision(successor);
-        successor.isUnverified = true;
-        successor.nextLeaseRenewal = now;
+        // A renewal for the former incarnation may have granted it a lease.
+        WorkerPool::recordForeignLease(successor, now);
+        // Orders for the former incarnation that are still in flight must not reach the next one.
+        // It refuses them once it has executed the poll of its claim.
+        if (successor.revision <= worker->revision) {
+            m_pool.raiseRevision(successor);
+            successor.isUnverified = true;
+            successor.nextLeaseRenewal = now;
+        }
     }
     for (const auto &[task, number] : moved) {
         out.note(task.step.job.value(),
@@ -122,10 +229,10 @@
         run.wasSent = true;
         run.mayArriveLate = true;
         run.isStopping = true;
+        run.startCopies.addUntraceable(now);
     }
-    if (!moved.empty())
-        WorkerPool::recordForeignLease(*m_pool.find(next), now);
-    endIncarnation(old, "replaced by another incarnation", out);
+    // Its heartbeats and leave calls that are still in transit must not count.
+    removeIncarnation(old, WorkerLeft{old}, "replaced by another incarnation", out);
     sendDueOrders(now, *m_pool.find(next), out);
 }
 
@@ -143,6 +250,10 @@
         return;
     if (call.kind == OrderKind::LeaseRenewal)
         worker->isLeaseRenewalInFlight = false;
+    if (worker->isClaim() && !checkClaim(now, *worker, answer, out))
+        return;
+    if (!worker->isClaim() && answer.born == call.incarnation.born)
+        m_pool.confirm(*worker);
     if (answer.born.has_value() && *answer.born < call.incarnation.born) {
         // The worker has restarted after its wall clock was set back. Its lists and end numbers are
         // not those of the incarnation that is tracked.
@@ -156,8 +267,14 @@
     const bool wasUsable = WorkerPool::isUsable(*worker, now);
     apply(now, *worker, call, answer, out);
     // The incarnation may have been replaced.
-    const PooledWorker *const after = m_pool.find(call.incarnation);
-    if (!wasUsable && after != nullptr && WorkerPool::isUsable(*after, now))
+    PooledWorker *const after = m_pool.find(call.incarnation);
+    if (after == nullptr)
+        return;
+    if (after->acknowledgementWaitsSince.has_value() && !after->hasUnsettledStart(now)) {
+        after->nextLeaseRenewal = now;
+        sendDueRenewal(now, *after, out);
+    }
+    if (!wasUsable && WorkerPool::isUsable(*after, now))
         m_results.onWorkerUsable();
 }
 
@@ -225,6 +342,8 @@
     if (run == nullptr)
         return;
     run->nextAttempt = now;
+    if (call.kind == OrderKind::Start)
+        run->startCopies.withdraw();
     // No order of this run has been sent before, so the next one counts as the first.
     if (call.kind == OrderKind::Start && !run->mayArriveLate)
         run->startedAt.reset();
@@ -252,14 +371,24 @@
         return;
     }
     const WorkerIncarnation next{call.incarnation.worker, *answer.born};
+    WorkerReport report = m_pool.find(call.incarnation)->report;
+    PooledWorker *const claimant = m_pool.find(next);
+    if (claimant != nullptr && claimant->isClaim()) {
+        if (claimant->report.address == report.address) {
+            claimant->nextLeaseRenewal = now;
+            confirmClaim(now, *claimant, answer.running, out);
+            return;
+        }
+        endIncarnation(next, "it has answered at another address", out);
+    }
     if (m_pool.find(next) == nullptr) {
         // It gets no orders until its own heartbeat has reported its resources.
-        WorkerReport report = m_pool.find(call.incarnation)->report;
         report.incarnation = next;
         report.isDraining = false;
         m_results.apply(WorkerReported{report});
         m_pool.addOrUpdate(now, report).isAnnounced = false;
     }
+    m_pool.confirm(*m_pool.find(next));
     replaceIncarnation(now, call.incarnation, next, answer.running, out);
 }
 
@@ -275,11 +404,10 @@
             worker.isFailing = true;
             worker.isUnverified = true;
         }
-        // The next incarnation must refuse the acknowledgement once it has executed a start.
-        if (call.acknowledgedEnd > CompletionNumber())
-            m_pool.raiseRevision(worker);
         return;
     }
+    if (call.kind != OrderKind::LeaseRenewal && WorkerPool::isOwnClock(worker, now, answer.clock))
+        worker.aliveAt = std::max(worker.aliveAt.value_or(call.sentAt), call.sentAt);
     worker.unansweredOrders = 0;
     if (worker.isFailing)
         out.note(call.incarnation.worker.value(), "worker answers again");
@@ -306,6 +434,7 @@
         return;
     OpenRun &run = *found;
     PooledWorker &worker = *m_pool.find(call.incarnation);
+    settleStart(now, worker, run, answer);
     run.nextAttempt = now + RetryDelay;
     switch (answer.verdict) {
     case WorkerVerdict::Done:
@@ -334,6 +463,18 @@
         endRun(call.incarnation, call.task, RunEnding::NotStarted, out);
 }
 
+void RunTracker::settleStart(Instant now, const PooledWorker &worker, OpenRun &run,
+                             const WorkerAnswer &answer)
+{
+    if (answer.verdict == WorkerVerdict::NoAnswer)
+        return;
+    // A copy that was refused is not executed later, whichever incarnation has refused it.
+    const bool wasExecuted
+            = answer.verdict == WorkerVerdict::Done || answer.verdict == WorkerVerdict::Superseded;
+    if (!wasExecuted || WorkerPool::isOwnClock(worker, now, answer.clock))
+        run.startCopies.settle();
+}
+
 void RunTracker::handleStopAnswer(Instant now, const Call &call, const WorkerAnswer &answer)
 {
     OpenRun *const found = runOf(call);
@@ -353,8 +494,16 @@
     const Milliseconds retryDelay = worker.runs.empty() ? IdleRetryDelay : RetryDelay;
     worker.nextLeaseRenewal
             = now + (answer.verdict == WorkerVerdict::Done ? Milliseconds(0) : retryDelay);
+    if (answer.verdict == WorkerVerdict::Fenced && call.revision < worker.revision) {
+        // A start that was sent later has arrived earlier.
+        if (call.acknowledgedEnd > CompletionNumber())
+            out.count(CellEvent::AcknowledgementFenced);
+        worker.nextLeaseRenewal = now;
+        sendDueRenewal(now, worker, out);
+    }
     if (answer.verdict != WorkerVerdict::Done)
         return;
+    worker.aliveAt = std::max(worker.aliveAt.value_or(call.sentAt), call.sentAt);
     // A list that was asked for earlier may come from the incarnation before.
     if (call.revision == worker.revision)
         worker.isUnverified = false;
@@ -364,6 +513,8 @@
     if (worker.hasUnacknowledgeableEnd)
         worker.nextLeaseRenewal = now + WithheldEndPollInterval;
     reconcileRuns(now, worker, call, answer, out);
+    if (worker.hasNewAcknowledgement() && worker.hasUnsettledStart(now))
+        worker.nextLeaseRenewal = now + WithheldEndPollInterval;
 }
 
 void RunTracker::reconcileRuns(Instant now, PooledWorker &worker, const Call &call,
@@ -385,6 +536,7 @@
         present.insert(listed.task);
         found->second.wasAcknowledged = true;
         found->second.wasListed = true;
+        found->second.startCopies.settleListed();
         found->second.checkpoint = listed.checkpoint;
     }
     if (answer.ended.size() >= MaxEndsListed) {
@@ -471,25 +623,69 @@
             run.nextAttempt = now + ExecutingCheckInterval;
         }
     }
-    const bool hasSendableAcknowledgement = worker.acknowledgedEnd > worker.droppedEnd
+    sendDueRenewal(now, worker, out);
+}
+
+bool RunTracker::updateAcknowledgementWait(Instant now, PooledWorker &worker, Outbox &out)
+{
+    if (!worker.hasNewAcknowledgement()) {
+        worker.acknowledgementWaitsSince.reset();
+        worker.isAcknowledgementOverdue = false;
+        return false;
+    }
+    if (!worker.hasUnsettledStart(now))
+        return false;
+    if (!worker.acknowledgementWaitsSince.has_value())
+        worker.acknowledgementWaitsSince = now;
+    // Waiting for copies that are under way without an answer does not end with fewer starts.
+    const bool canEnd = std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto &it) {
+        const OpenRun &run = it.second;
+        return run.mayDelayAcknowledgement(now)
+                && (run.isCallInFlight || run.startCopies.canBeListed());
+    });
+    const bool wasOverdue = worker.isAcknowledgementOverdue;
+    worker.isAcknowledgementOverdue = canEnd
+            && (wasOverdue || now - *worker.acknowledgementWaitsSince > MaxAcknowledgementWait);
+    if (worker.isAcknowledgementOverdue && !wasOverdue) {
+        out.count(CellEvent::AcknowledgementOverdue);
+        out.note(worker.report.incarnation.worker.value(),
+                 absl::StrCat("acknowledgement waits for starts: end=",
+                              worker.acknowledgedEnd.value()));
+    }
+    return true;
+}
+
+void RunTracker::sendDueRenewal(Instant now, PooledWorker &worker, Outbox &out)
+{
+    const bool mustWait = updateAcknowledgementWait(now, worker, out);
+    const bool hasSendableAcknowledgement = worker.hasNewAcknowledgement()
             && now - worker.listedAt <= MaxListAgeForAcknowledgement;
     const bool hasPendingAcknowledgement
             = worker.acknowledgedEnd < worker.acknowledgeableEnd && !hasSendableAcknowledgement;
     if (worker.isLeaseRenewalInFlight || now < worker.nextLeaseRenewal || hasPendingAcknowledgement)
         return;
+    const bool hasStartInFlight
+            = std::any_of(worker.runs.begin(), worker.runs.end(), [now](const auto &entry) {
+                  return entry.second.isCallInFlight && entry.second.mayDelayAcknowledgement(now);
+              });
+    if (mustWait && hasStartInFlight
+        && now - worker.acknowledgementWaitsSince.value_or(now) < MaxRenewalDelay)
+        return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
     if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled()
-        || worker.hasUnexpectedRun)
+        || worker.hasUnexpectedRun || worker.isAcknowledgementOverdue)
         renewLease(now, worker, out);
 }
 
 void RunTracker::renewLease(Instant now, PooledWorker &worker, Outbox &out)
 {
-    const bool hasNewAcknowledgement = worker.acknowledgedEnd > worker.droppedEnd;
     const bool isRecentlyListed = now - worker.listedAt <= MaxListAgeForAcknowledgement;
+    // The next incarnation must refuse an acknowledgement that follows a start.
+    const bool isAcknowledging = worker.hasNewAcknowledgement() && !worker.isOnlyPolled()
+            && isRecentlyListed && !worker.hasUnsettledStart(now);
     // Without a recent list the worker is listed again at once, and the acknowledgement follows.
     const bool isLongPoll = !worker.isOnlyPolled() && worker.clock.has_value()
-            && (!hasNewAcknowledgement || isRecentlyListed);
+            && (!worker.hasNewAcknowledgement() || isAcknowledging);
     Call call;
     for (const auto &[task, run] : worker.runs) {
         if (run.wasAcknowledged && run.wasSent)
@@ -497,8 +693,13 @@
     }
     // Repeating an acknowledgement would be of no use to this incarnation, and the next one would
     // drop ends that nobody has seen.
-    if (!worker.isOnlyPolled() && hasNewAcknowledgement && isRecentlyListed)
+    if (isAcknowledging) {
         call.acknowledgedEnd = worker.acknowledgedEnd;
+        worker.acknowledgementRevision = worker.revision;
+        worker.acknowledgementWaitsSince.reset();
+        if (std::exchange(worker.isAcknowledgementOverdue, false))
+            m_results.onWorkerUsable();
+    }
     CallWorker effect = makeCall(now, worker,
                                  OrderLeaseRenewal{call.acknowledgedEnd,
                                                    isLongPoll ? RenewalPollWait : Milliseconds(0)});
@@ -530,6 +731,7 @@
     call.incarnation = effect.incarnation;
     call.leaseUntil = effect.leaseUntil;
     call.revision = effect.revision;
+    call.sentAt = now;
     call.minClock = WorkerPool::minClock(worker, now);
     m_calls.emplace(effect.call, std::move(call));
     m_metrics.recordOrder(now, effect, out);
@@ -549,6 +751,10 @@
             = isRepetition ? worker.grantedUntil : WorkerPool::grant(worker, now, length);
     if (!until.has_value())
         return;
+    // The next incarnation must refuse an acknowledgement that arrives after the start.
+    if (worker.acknowledgementRevision >= worker.revision)
+        m_pool.raiseRevision(worker);
+    run.startCopies.add(now);
     CallWorker effect = makeCall(now, worker,
                                  OrderStart{task, run.run,
                                             std::make_shared<const std::string>(job.spec.payload),
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -16,6 +16,9 @@
 /** How long after its last contact with a quorum a former leader may have granted leases. */
 constexpr Milliseconds FormerLeaderMargin{800};
 
+/** Covers the workers that end within the time for which their orders can be in transit. */
+constexpr std::size_t MaxRemovedNames = 10'000;
+
 /** A list of 500 ends is truncated and may lack newer ones. */
 constexpr std::uint64_t MaxUnacknowledgedEnds = 400;
 /** A lapsing lease loses work, so a lease lapses only once the list is long. */
@@ -44,7 +47,15 @@
 
 void WorkerPool::remove(const WorkerIncarnation &incarnation)
 {
-    m_workers.erase(incarnation);
+    const auto found = m_workers.find(incarnation);
+    if (found == m_workers.end())
+        return;
+    if (!found->second.isClaim()) {
+        if (m_removedNames.size() >= MaxRemovedNames)
+            m_removedNames.erase(m_removedNames.begin());
+        m_removedNames.insert(incarnation.worker);
+    }
+    m_workers.erase(found);
     m_areCapacitiesCurrent = false;
 }
 
@@ -52,8 +63,10 @@
 {
     if (!m_areCapacitiesCurrent) {
         m_capacities.clear();
-        for (const auto &[incarnation, worker] : m_workers)
-            m_capacities.add(worker.report);
+        for (const auto &[incarnation, worker] : m_workers) {
+            if (!worker.isClaim())
+                m_capacities.add(worker.report);
+        }
         m_areCapacitiesCurrent = true;
     }
     return m_capacities.canHold(pool, step);
@@ -68,10 +81,40 @@
 PooledWorker *WorkerPool::findNewestIncarnation(const WorkerId &worker)
 {
     constexpr Milliseconds Never{std::numeric_limits<std::int64_t>::max()};
-    const auto after = m_workers.upper_bound({worker, Never});
-    if (after == m_workers.begin() || std::prev(after)->first.worker != worker)
-        return nullptr;
-    return &std::prev(after)->second;
+    auto after = m_workers.upper_bound({worker, Never});
+    while (after != m_workers.begin() && std::prev(after)->first.worker == worker) {
+        --after;
+        if (!after->second.isClaim())
+            return &after->second;
+    }
+    return nullptr;
+}
+
+std::vector<WorkerIncarnation> WorkerPool::conflictsWith(const WorkerReport &report) const
+{
+    std::vector<WorkerIncarnation> conflicts;
+    for (const auto &[incarnation, worker] : m_workers) {
+        const bool isSamePlace = incarnation.worker == report.incarnation.worker
+                || worker.report.address == report.address;
+        if (isSamePlace && incarnation != report.incarnation)
+            conflicts.push_back(incarnation);
+    }
+    return conflicts;
+}
+
+bool WorkerPool::isSuperseded(const WorkerReport &report) const
+{
+    const std::vector<WorkerIncarnation> conflicts = conflictsWith(report);
+    return std::any_of(conflicts.begin(), conflicts.end(), [&](const WorkerIncarnation &other) {
+        return other.born > report.incarnation.born
+                && m_workers.at(other).proof == IncarnationProof::Answer;
+    });
+}
+
+void WorkerPool::confirm(PooledWorker &worker)
+{
+    m_areCapacitiesCurrent = m_areCapacitiesCurrent && !worker.isClaim();
+    worker.proof = IncarnationProof::Answer;
 }
 
 void WorkerPool::open(PooledWorker &worker, const JobTaskRef &task, OpenRun run)
@@ -123,6 +166,13 @@
     return Milliseconds(std::max<std::int64_t>(*current - *clock, 0));
 }
 
+bool WorkerPool::isOwnClock(const PooledWorker &worker, Instant now,
+                            std::optional<std::int64_t> clock)
+{
+    return clock.has_value() && worker.aliveAt.has_value()
+            && *clock > (now - *worker.aliveAt).value() + ClockMarginMilliseconds;
+}
+
 std::optional<std::int64_t> WorkerPool::grant(PooledWorker &worker, Instant now,
                                               Milliseconds length)
 {
@@ -206,8 +256,9 @@
 bool WorkerPool::isUsable(const PooledWorker &worker, Instant now)
 {
     return worker.isAnnounced && !worker.report.isDraining && !worker.isOnlyPolled()
-            && !worker.hasUnexpectedRun && worker.clock.has_value()
-            && now - worker.lastHeartbeat < MaxHeartbeatAge && now >= worker.avoidUntil;
+            && !worker.hasUnexpectedRun && !worker.isContested && !worker.isAcknowledgementOverdue
+            && worker.clock.has_value() && now - worker.lastHeartbeat < MaxHeartbeatAge
+            && now >= worker.avoidUntil;
 }
 
 } // namespace gentiancross
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "control/jobs/capacity_index.h"
+#include "control/jobs/start_copies.h"
 #include "control/jobs/worker_pace.h"
 #include "core/job_calls.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -36,6 +38,7 @@
     bool wasListed = false;
     /** True if a copy of the start may still reach this incarnation of the worker or the next. */
     bool mayArriveLate = false;
+    StartCopies startCopies;
     bool isCallInFlight = false;
     bool isStopping = false;
     Instant nextAttempt;
@@ -44,12 +47,30 @@
     std::string ticket;
     /** The latest checkpoint that the worker has reported. */
     std::string checkpoint;
+
+    /** True if the next incarnation may still execute the start and then drop its end. Ends of
+     * long-running tasks are never final, so they do no harm there. */
+    [[nodiscard]] bool mayDelayAcknowledgement(Instant now) const
+    {
+        return !isLongRunning && !startCopies.areSettled(now);
+    }
+};
+
+/** What proves that an incarnation exists. */
+enum class IncarnationProof {
+    /** Its own heartbeats, which no other incarnation contests. */
+    Heartbeat,
+    /** Nothing yet: its heartbeat has the name or the address of another incarnation. */
+    None,
+    /** An answer of the worker itself that states its birth. */
+    Answer,
 };
 
 /** An incarnation of a worker, as tracked by the leader. */
 struct PooledWorker
 {
     WorkerReport report;
+    IncarnationProof proof = IncarnationProof::Heartbeat;
     Resources reserved;
     /** Cores that best-effort runs have requested. */
     MilliCores bestEffortCores;
@@ -79,6 +100,15 @@
     CompletionNumber droppedEnd;
     /** When it made its newest list, or later. */
     Instant listedAt;
+    /** A time at which this incarnation was certainly alive; empty if there was no list yet. */
+    std::optional<Instant> aliveAt;
+    /** The newest revision that an acknowledgement was sent with. */
+    std::optional<FenceRevision> acknowledgementRevision;
+    /** Since when an acknowledgement has waited for starts to be settled; empty if none waits. */
+    std::optional<Instant> acknowledgementWaitsSince;
+    /** True if an acknowledgement has waited so long that the worker gets no further starts until
+     * it was sent. */
+    bool isAcknowledgementOverdue = false;
     /** True if the worker has listed an end after `acknowledgeableEnd` that it must not forget.
      * Cleared when a lease lapses while something runs. */
     bool hasUnacknowledgeableEnd = false;
@@ -92,6 +122,9 @@
     /** True while the next incarnation under the same name may be answering, or earlier orders may
      * still arrive at this one; cleared by a list of this incarnation. */
     bool isUnverified = false;
+    /** True while a claim with its name and address is asked for: if the claim is true, new runs
+     * would reach the next incarnation. */
+    bool isContested = false;
     /** Raised to invalidate orders that may still arrive. */
     FenceRevision revision;
     /** True if its newest list contains a run that is not tracked; the run uses capacity until it
@@ -108,7 +141,17 @@
 
     /** True if the worker is only asked for its lists: it gets no run and no lease, and no end is
      * acknowledged, since the next incarnation would take each of these as its own. */
-    [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified; }
+    [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified || isClaim(); }
+    /** True if it has only been claimed, by a heartbeat that may be another writer's. */
+    [[nodiscard]] bool isClaim() const { return proof == IncarnationProof::None; }
+    [[nodiscard]] bool hasNewAcknowledgement() const { return acknowledgedEnd > droppedEnd; }
+    /** True if an acknowledgement that is sent now could follow a start in the next incarnation. */
+    [[nodiscard]] bool hasUnsettledStart(Instant now) const
+    {
+        return std::any_of(runs.begin(), runs.end(), [now](const auto &entry) {
+            return entry.second.mayDelayAcknowledgement(now);
+        });
+    }
     /** Number of ends that the worker keeps listing until they are acknowledged. */
     [[nodiscard]] std::uint64_t unacknowledgedEndCount() const
     {
@@ -142,12 +185,24 @@
     /** Adds an incarnation or updates its report. */
     PooledWorker &addOrUpdate(Instant now, const WorkerReport &report);
     void remove(const WorkerIncarnation &incarnation);
-    /** True if a worker of \a pool could run a task of the step if it were idle and usable. Takes
-     * no longer with more workers, unless their reports have changed since the last call. */
+    /** True if an incarnation of the worker, other than a claim, has been removed. */
+    [[nodiscard]] bool wasRemoved(const WorkerId &worker) const
+    {
+        return m_removedNames.contains(worker);
+    }
+    /** True if a worker of \a pool could run a task of the step if it were idle and usable, claims
+     * left out. Takes no longer with more workers, unless their reports have changed since the last
+     * call. */
     [[nodiscard]] bool canHold(const PoolId &pool, const StepSpec &step);
     [[nodiscard]] PooledWorker *find(const WorkerIncarnation &incarnation);
-    /** The newest incarnation of the worker; null if there is none. */
+    /** The newest incarnation of the worker, claims left out; null if there is none. */
     [[nodiscard]] PooledWorker *findNewestIncarnation(const WorkerId &worker);
+    /** The other incarnations with the name or the address of \a report, claims included. */
+    [[nodiscard]] std::vector<WorkerIncarnation> conflictsWith(const WorkerReport &report) const;
+    /** True if a later incarnation with the name or the address of \a report has proved itself. */
+    [[nodiscard]] bool isSuperseded(const WorkerReport &report) const;
+    /** Records that the worker itself has stated the birth of this incarnation. */
+    void confirm(PooledWorker &worker);
     [[nodiscard]] std::map<WorkerIncarnation, PooledWorker> &all() { return m_workers; }
     /** The pace averaged over all workers. */
     [[nodiscard]] WorkerPace &averagePace() { return m_averagePace; }
@@ -189,6 +244,10 @@
     /** How long ago the worker's clock showed \a clock, at least; 0 if that is unknown. */
     [[nodiscard]] static Milliseconds minAge(const PooledWorker &worker, Instant now,
                                              std::optional<std::int64_t> clock);
+    /** True if \a clock, received at \a now, is a reading of this incarnation's clock: a later
+     * one's clock began after `aliveAt`. */
+    [[nodiscard]] static bool isOwnClock(const PooledWorker &worker, Instant now,
+                                         std::optional<std::int64_t> clock);
     /** True if the worker may be given new runs. */
     [[nodiscard]] static bool isUsable(const PooledWorker &worker, Instant now);
     /** False if the worker's list of ends that cannot be acknowledged is too long for a run of the
@@ -205,6 +264,7 @@
      * removed and registers again has seen its former ones. */
     FenceRevision m_lastRevision;
     std::map<WorkerIncarnation, PooledWorker> m_workers;
+    std::set<WorkerId> m_removedNames;
     CapacityIndex m_capacities;
     bool m_areCapacitiesCurrent = true;
     WorkerPace m_averagePace;
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -74,12 +74,14 @@
     std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t occurrencesBegun = 0;
     std::uint32_t occurrencesDone = 0;
+    /** Empty for a job that a former version has stored. */
+    CallOrigin submittedBy;
 
     template <typename Self>
     static auto fields(Self &self)
     {
         return std::tie(self.terms, self.spec, self.acceptedAt, self.state, self.occurrences,
-                        self.occurrencesBegun, self.occurrencesDone);
+                        self.occurrencesBegun, self.occurrencesDone, self.submittedBy);
     }
 
     [[nodiscard]] bool isOver() const
@@ -91,7 +93,7 @@
 /** The state that a cell's keepers replicate: configuration, jobs, workers. */
 struct JobStoreData
 {
-    std::optional<ConfigDocument> document;
+    SharedDocument document;
     std::map<JobId, Job> jobs;
     std::map<WorkerIncarnation, WorkerReport> workers;
     /** The most recent incarnations that have left, oldest first. */
@@ -107,7 +109,8 @@
 /** A configuration was accepted; it is in force if its version is the highest. */
 struct DocumentAccepted
 {
-    ConfigDocument document;
+    /** A record without a document changes nothing. */
+    SharedDocument document;
 
     template <typename Self>
     static auto fields(Self &self)
@@ -122,11 +125,12 @@
     JobTerms terms;
     JobSpec spec;
     Milliseconds acceptedAt;
+    CallOrigin submittedBy;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.id, self.terms, self.spec, self.acceptedAt);
+        return std::tie(self.id, self.terms, self.spec, self.acceptedAt, self.submittedBy);
     }
 };
 
@@ -232,7 +236,8 @@
     }
 };
 
-/** The worker announced its shutdown; messages sent earlier may still arrive and are ignored. */
+/** The incarnation has announced its shutdown, or its successor has answered; messages that it sent
+ * earlier may still arrive and are ignored. */
 struct WorkerLeft
 {
     WorkerIncarnation incarnation;
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -76,6 +76,7 @@
     startJob(bench);
     bench.sendHeartbeat("w");
     bench.sendHeartbeat("v", 2);
+    bench.confirm("v", 2);
     CHECK(bench.takeStarts().empty());
     const std::vector<CallWorker> stops = bench.takeStops();
     REQUIRE(stops.size() == 1);
@@ -396,3 +397,109 @@
     CHECK(std::get<JobStateReport>(bench.queryJob(job)).state == JobState::Completed);
     CHECK(std::get<JobStateReport>(bench.queryJob(otherJob)).state == JobState::Completed);
 }
+
+// Guards against an acknowledgement that reaches the next incarnation after a start, and drops its
+// end there.
+TEST_CASE("A start has a higher fencing token than the acknowledgements before it")
+{
+    LeaderBench bench;
+    runOneJob(bench);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const CallWorker renewal = takeRenewal(bench, "v");
+    REQUIRE(acknowledgedBy(renewal) == CompletionNumber(1));
+    bench.submit(thirdJob, {makeStep(1, 100)});
+    const CallWorker start = bench.takeStarts().at(0);
+    CHECK(fencingTokenOf(start) > fencingTokenOf(renewal));
+    // The start has overtaken the renewal, which is repeated without delay once it is answered.
+    bench.answer(start, WorkerVerdict::Done);
+    bench.answer(renewal, WorkerVerdict::Fenced);
+    const std::optional<CallWorker> repeated = bench.takeLeaseRenewal("v");
+    REQUIRE(repeated.has_value());
+    CHECK(fencingTokenOf(*repeated) >= fencingTokenOf(start));
+}
+
+// Guards against the same where the start is sent first, and against ends that are never
+// acknowledged while starts follow each other.
+TEST_CASE("An acknowledgement waits for the starts before it, and leaves when they are answered")
+{
+    LeaderBench bench;
+    startJob(bench);
+    const CallWorker renewal = takeRenewal(bench, "v");
+    bench.submit(otherJob, {makeStep(1, 100)});
+    const CallWorker start = bench.takeStarts().at(0);
+    bench.answerWithRuns(renewal, {}, {ended(1, job, 1)});
+    CHECK_FALSE(bench.takeLeaseRenewal("v").has_value());
+    SECTION("at once if the answer is soon")
+    {
+        bench.answer(start, WorkerVerdict::Done);
+        const std::optional<CallWorker> next = bench.takeLeaseRenewal("v");
+        REQUIRE(next.has_value());
+        CHECK(acknowledgedBy(*next) == CompletionNumber(1));
+    }
+    SECTION("with leases renewed, and no further starts there, if it is late")
+    {
+        for (int poll = 0; poll < 2; ++poll) {
+            const CallWorker listing = takeRenewal(bench, "v");
+            CHECK(acknowledgedBy(listing) == CompletionNumber(0));
+            CHECK(listing.leaseUntil > renewal.leaseUntil);
+            bench.answerWithRuns(listing, {}, {ended(1, job, 1)});
+        }
+        bench.submit(thirdJob, {makeStep(1, 100)});
+        CHECK(bench.takeStarts().empty());
+        bench.answer(start, WorkerVerdict::Done);
+        CHECK(acknowledgedBy(takeRenewal(bench, "v")) == CompletionNumber(1));
+        CHECK(bench.takeStarts().size() == 1);
+    }
+}
+
+// Guards against two runs at a time: a renewal for the former incarnation had granted the next one
+// a longer lease than the leader reckoned with.
+TEST_CASE("A run in a restarted worker lapses only after the longest lease that a worker accepts")
+{
+    constexpr std::int64_t LongestLease = 10'000;
+    constexpr std::int64_t Step = 500;
+    LeaderBench bench;
+    startJob(bench);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1)}, {});
+    bench.sendHeartbeat("v", 2);
+    std::optional<CallWorker> poll = bench.takeLeaseRenewal("v");
+    while (poll.has_value() && poll->incarnation != makeIncarnation("v", 2))
+        poll = bench.takeLeaseRenewal("v");
+    REQUIRE(poll.has_value());
+    bench.answerWithRuns(*poll, {}, {});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.answer(starts[0], WorkerVerdict::Done);
+    for (std::int64_t silence = 0; silence + Step < LongestLease; silence += Step) {
+        bench.advance(Step);
+        bench.sendHeartbeat("w");
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answer(*renewal, WorkerVerdict::NoAnswer);
+        CHECK(bench.takeStarts().empty());
+    }
+}
+
+// Guards against two runs at a time: a start for an incarnation that has left was executed by the
+// next one, beside the run that had replaced it.
+TEST_CASE("A worker under the name of one that has left is polled before it gets runs")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    const CallWorker late = bench.takeStarts().at(0);
+    bench.answer(late, WorkerVerdict::NoAnswer);
+    bench.sendHeartbeat("v", 1, true);
+    bench.call(WorkerLeave{WorkerId("v")});
+    while (bench.takeLeaseRenewal("v").has_value()) {
+    }
+    bench.sendHeartbeat("v", 2);
+    CHECK(bench.takeStarts().empty());
+    const std::optional<CallWorker> poll = bench.takeLeaseRenewal("v");
+    REQUIRE(poll.has_value());
+    CHECK(poll->leaseUntil == 0);
+    CHECK(fencingTokenOf(*poll) > fencingTokenOf(late));
+    bench.answerWithRuns(*poll, {}, {});
+    CHECK(bench.takeStarts().size() == 1);
+}
