--- a/core/measurements.h
+++ b/core/measurements.h
@@ -75,6 +75,10 @@
     ClaimDropped,
     /** A heartbeat or a leave call could not be the worker's own and was refused or ignored. */
     WorkerMessageRefused,
+    /** An acknowledgement of ends waits for starts that the next incarnation may still execute. */
+    AcknowledgementOverdue,
+    /** A worker refused an acknowledgement, since a later start has reached it first. */
+    AcknowledgementFenced,
 };
 
 /** Time spans that are measured. */
