--- a/tests/core/shared_value_test.cpp
+++ b/tests/core/shared_value_test.cpp
@@ -12,7 +12,8 @@
     // Guards against a leader that is late with leases since it encodes each configuration of
     // thousands of routes for its journal and for each keeper.
     const SharedValue<int> value(7);
-    const SharedValue<int> copy = value;
+    SharedValue<int> copy;
+    copy = value;
     int encoded = 0;
     const auto encode = [&encoded](int number) {
         ++encoded;
--- a/tests/documents/document_bench.cpp
+++ b/tests/documents/document_bench.cpp
@@ -7,6 +7,8 @@
 #include "platform/document_decoder.h"
 #include "platform/job_wire.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
@@ -26,12 +28,13 @@
     std::string body = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
     for (int number = 0; number < routes; ++number) {
         const std::string digits = std::to_string(1'000'000 + number);
-        body += (number == 0 ? "" : ",") + (R"({"name":"r-)" + digits) + R"(","host":"nony)"
-                + std::to_string(number % 50) + R"(.example","path_prefix":"/p)" + digits
-                + R"(/","kind":"unsafe","timeout_ms":)" + std::to_string(3000 + number % 7)
-                + R"(,"target_runtime_ms":1200,"priority":2,"service":"huvo11a","max_attempts":3,)"
-                + R"("stretch":2.2,"advice":{"decide_ms":370.0,"each_ms":5.3,"valid_ms":2000},)"
-                + R"("public":false})";
+        absl::StrAppend(
+                &body, number == 0 ? "" : ",", R"({"name":"r-)", digits, R"(","host":"nony)",
+                number % 50, R"(.example","path_prefix":"/p)", digits,
+                R"(/","kind":"unsafe","timeout_ms":)", 3000 + number % 7,
+                R"(,"target_runtime_ms":1200,"priority":2,"service":"huvo11a","max_attempts":3,)",
+                R"("stretch":2.2,"advice":{"decide_ms":370.0,"each_ms":5.3,"valid_ms":2000},)",
+                R"("public":false})");
     }
     return body
             + R"(],"services":[{"name":"huvo11a","enforces_capacity":false}],"limits":{},)"
--- a/tests/servers/peer_link_test.cpp
+++ b/tests/servers/peer_link_test.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/rpc/rpc_envelope.h"
 
+#include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <array>
 #include <catch2/catch.hpp>
@@ -127,10 +128,10 @@
     CHECK(countReceived(R"(["b",)" + good + "," + good + "]") == 2);
     CHECK(std::get<PeerMessageReceived>(events.events.back()).from == HostId("b"));
     for (const char *bad : {"1", "[5]", "[5,[999,[]]]", "[-5,[1,[]]]", "[5,[1,[1]]]", "{}"})
-        CHECK(countReceived(R"(["b",)" + good + "," + bad + "," + good + "]") == 2);
+        CHECK(countReceived(absl::StrCat(R"(["b",)", good, ",", bad, ",", good, "]")) == 2);
     CHECK(countReceived(R"(["b",)" + good + "," + oddBytes + "]") == 2);
     for (const char *bad : {"[5,", "]", "tru", "[1 2]", "[5}", ""})
-        CHECK(countReceived(R"(["b",)" + good + "," + bad + "," + good + "]") == 0);
+        CHECK(countReceived(absl::StrCat(R"(["b",)", good, ",", bad, ",", good, "]")) == 0);
     CHECK(countReceived(R"(["b",)" + good + "] 1") == 0);
     CHECK(countReceived(R"(["b"])") == 0);
 }
