Require a list of a worker in one place

Polling a worker again before it is used was written out four times: for claims, reused names, restarts and answers of an unidentified incarnation. Behaviour is the same.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -40,6 +40,15 @@
 /** After this time the worker gets no further starts until its acknowledgement was sent. */
 constexpr Milliseconds MaxAcknowledgementWait{300};
 
+/** Polls the worker before it is used again. Orders that were sent to it before are refused once it
+ * has executed the poll. */
+void requireList(Instant now, WorkerPool &pool, PooledWorker &worker)
+{
+    worker.isUnverified = true;
+    worker.nextLeaseRenewal = now;
+    pool.raiseRevision(worker);
+}
+
 } // namespace
 
 RunTracker::RunTracker(Fence fence, const JobStoreData &store, WorkerPool &pool,
@@ -112,10 +121,8 @@
              absl::StrCat("claim is verified: born=", incarnation.born.value(),
                           " address=", worker.report.address));
     worker.proof = IncarnationProof::None;
-    worker.isUnverified = true;
-    worker.nextLeaseRenewal = now;
     // If the claim is true, orders for the former incarnation must not be executed after the poll.
-    m_pool.raiseRevision(worker);
+    requireList(now, m_pool, worker);
     for (const WorkerIncarnation &other : m_pool.conflictsWith(worker.report)) {
         PooledWorker &contested = *m_pool.find(other);
         if (other.worker == incarnation.worker && contested.report.address == worker.report.address)
@@ -126,9 +133,7 @@
 
 void RunTracker::verifySuccessor(Instant now, PooledWorker &worker, Outbox &out)
 {
-    worker.isUnverified = true;
-    worker.nextLeaseRenewal = now;
-    m_pool.raiseRevision(worker);
+    requireList(now, m_pool, worker);
     WorkerPool::recordForeignLease(worker, now);
     sendDueOrders(now, worker, out);
 }
@@ -221,11 +226,8 @@
             WorkerPool::recordForeignLease(successor, now);
         // Orders for the former incarnation that are still in flight must not reach the next one.
         // It refuses them once it has executed the poll of its claim.
-        if (successor.revision <= worker->revision) {
-            m_pool.raiseRevision(successor);
-            successor.isUnverified = true;
-            successor.nextLeaseRenewal = now;
-        }
+        if (successor.revision <= worker->revision)
+            requireList(now, m_pool, successor);
     }
     for (const auto &[task, number] : moved) {
         out.note(task.step.job.value(),
@@ -327,9 +329,7 @@
     out.add(LogLine{true, call.incarnation.worker.value(),
                     "worker's clock has begun anew: another incarnation may have answered"});
     out.count(CellEvent::UnidentifiedAnswer);
-    worker.isUnverified = true;
-    worker.nextLeaseRenewal = now;
-    m_pool.raiseRevision(worker);
+    requireList(now, m_pool, worker);
     WorkerPool::recordForeignLease(worker, now);
     if (OpenRun *const run = runOf(call)) {
         run->mayArriveLate = true;
