Count a job as waiting until a worker confirms that a task has begun

Cause: a job stopped counting as waiting when its start was decided. A decision is no start: the order may be executed seconds later or never.

A job now counts until a worker answers that a run was started, lists it or lists its end. A successor counts inherited jobs until then, unless their progress shows that a task has begun.

--- a/control/jobs/call_handler.cpp
+++ b/control/jobs/call_handler.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace gentiancross {
 
 namespace {
@@ -39,6 +41,24 @@
             && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
+/** True if the job's records show that a task of it has begun. */
+bool hasProgress(const Job &job)
+{
+    if (job.occurrencesDone > 0)
+        return true;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const std::vector<TaskProgress> &tasks : occurrence.steps) {
+            const bool hasBegun
+                    = std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress &task) {
+                          return task.isDone || task.failures > 0 || !task.checkpoint.empty();
+                      });
+            if (hasBegun)
+                return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 CallHandler::CallHandler(const JobStoreData &store, CallDecisionHandler &decisions)
@@ -50,10 +70,23 @@
 {
     if (job.state == JobState::Queued)
         m_waiting[job.terms.queue].insert(id);
-    else
+    else if (job.isOver())
         m_waiting[job.terms.queue].erase(id);
 }
 
+void CallHandler::inherit(const JobId &id, const Job &job)
+{
+    if (!job.isOver() && !hasProgress(job))
+        m_waiting[job.terms.queue].insert(id);
+}
+
+void CallHandler::recordBegun(const JobId &id)
+{
+    const auto job = m_store.jobs.find(id);
+    if (job != m_store.jobs.end())
+        m_waiting[job->second.terms.queue].erase(id);
+}
+
 void CallHandler::refuse(const CallOrigin &origin, Refusal refusal, std::string reason)
 {
     m_decisions.answer(origin, CallRefused{refusal, std::move(reason), {}});
--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -40,8 +40,14 @@
     void handle(Milliseconds wall, const CallOrigin &origin, const JobCall &call, Outbox &out);
     void handle(const CallOrigin &origin, const PutConfiguration &call, Outbox &out);
     void handle(const CallOrigin &origin, const GetConfiguration &call);
-    /** Updates whether the job counts as waiting in its queue. */
+    /** Updates whether the job counts as waiting in its queue. An ordered start is no reason to
+     * stop counting it, since the worker may execute the order late or never. */
     void updateWaiting(const JobId &id, const Job &job);
+    /** Counts a job of an earlier leader as waiting until a worker confirms that a task has begun,
+     * unless the job's progress shows that. */
+    void inherit(const JobId &id, const Job &job);
+    /** Records that a task of the job has begun. */
+    void recordBegun(const JobId &id);
 
 private:
     /** True if the call has already submitted a job that is stored. */
@@ -55,7 +61,7 @@
     const JobStoreData &m_store;
     CallDecisionHandler &m_decisions;
     QueueIndex m_queues;
-    /** Accepted jobs of which no task has started, by queue. */
+    /** Accepted jobs of which no task is known to have begun, by queue. */
     std::map<QueueId, std::set<JobId>> m_waiting;
 };
 
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -57,6 +57,7 @@
             }
         }
         m_planner.jobInherited(id, job, estimateArrival(job, newest));
+        m_callHandler.inherit(id, job);
         onJobChanged(id, job);
     }
 }
@@ -72,6 +73,11 @@
     m_decisions.records.push_back(std::move(record));
 }
 
+void CellLeader::onRunBegun(const JobTaskRef &task)
+{
+    m_callHandler.recordBegun(task.step.job);
+}
+
 void CellLeader::acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number)
 {
     m_decisions.acknowledgedEnds[incarnation] = number;
@@ -88,7 +94,6 @@
 {
     const StepSpec &step = job.spec.steps[task.step.step];
     m_planner.runOpened(task, job, progress.worker);
-    m_callHandler.updateWaiting(task.step.job, job);
     PooledWorker *const worker = m_pool.find(progress.worker);
     if (worker == nullptr)
         return;
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -111,6 +111,7 @@
 
     void apply(JobRecord record) override;
     void answer(const CallOrigin &origin, CallAnswer answer) override;
+    void onRunBegun(const JobTaskRef &task) override;
     void acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number) override;
     void onWorkerUsable() override { m_planner.markChanged(); }
 
--- a/control/jobs/run_end_recorder.cpp
+++ b/control/jobs/run_end_recorder.cpp
@@ -47,6 +47,7 @@
             recordFailure(now, worker, end.task.step.job, out);
         }
         updateAcknowledgeable(worker, end, out);
+        m_results.onRunBegun(end.task);
         m_results.apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
         if (!worker.hasUnacknowledgeableEnd) {
             worker.acknowledgeableEnd = end.number;
--- a/control/jobs/run_result_handler.h
+++ b/control/jobs/run_result_handler.h
@@ -15,6 +15,8 @@
 
     /** Applies \a record to the job store, and appends it to the log with the next entry. */
     virtual void apply(JobRecord record) = 0;
+    /** A worker has confirmed that a run of \a task has begun. */
+    virtual void onRunBegun(const JobTaskRef &task) = 0;
     /** Acknowledges the ends up to \a number, all of which were applied: the worker may forget them
      * once they are durable. */
     virtual void acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number) = 0;
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -451,6 +451,8 @@
     run.nextAttempt = now + RetryDelay;
     switch (answer.verdict) {
     case WorkerVerdict::Done:
+        m_results.onRunBegun(call.task);
+        [[fallthrough]];
     case WorkerVerdict::Superseded:
         run.wasAcknowledged = true;
         worker.nextLeaseRenewal = std::min(worker.nextLeaseRenewal, now + RetryDelay);
@@ -547,6 +549,8 @@
             continue;
         }
         present.insert(listed.task);
+        if (!found->second.wasListed)
+            m_results.onRunBegun(listed.task);
         found->second.wasAcknowledged = true;
         found->second.wasListed = true;
         found->second.startCopies.settleListed();
--- a/tests/control/jobs/call_handler_test.cpp
+++ b/tests/control/jobs/call_handler_test.cpp
@@ -36,6 +36,12 @@
     return bench.call(makeCall(verb, key, path));
 }
 
+/** The length of the queue, as callers are told it. */
+std::uint64_t waitingIn(LeaderBench &bench)
+{
+    return std::get<QueueLengthReport>(call(bench, JobVerb::Status, "key-of-alpha", "/q/")).waiting;
+}
+
 /** Submits job A, as the entry host does once and then again. */
 CallAnswer submitFromHost(LeaderBench &bench)
 {
@@ -119,3 +125,47 @@
     CHECK(isDone(call(bench, JobVerb::Submit, "new-key")));
     CHECK(bench.leader().store().jobs.size() == 1);
 }
+
+// Guards against a queue length that leaves out jobs whose starts no worker has executed yet.
+TEST_CASE("A job counts as waiting until a worker confirms that a task of it has begun")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("w");
+    CHECK(waitingIn(bench) == 0);
+    REQUIRE(isDone(call(bench, JobVerb::Submit, "key-of-alpha")));
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(waitingIn(bench) == 1);
+    bench.answer(starts[0], WorkerVerdict::NoAnswer);
+    CHECK(waitingIn(bench) == 1);
+    // The next leader does not know whether the worker has executed the start.
+    LeaderBench successor(bench.leader().store());
+    successor.sendHeartbeat("w");
+    CHECK(waitingIn(successor) == 1);
+    SECTION("the worker answers a repetition")
+    {
+        bench.advance(200);
+        bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+        CHECK(waitingIn(bench) == 0);
+    }
+    SECTION("the worker lists the run")
+    {
+        successor.answerLeaseRenewal("w", {ReportedRun{makeTask(jobA, 0, 0), RunNumber(1)}});
+        CHECK(waitingIn(successor) == 0);
+    }
+    SECTION("the worker lists the end of the run")
+    {
+        successor.answerLeaseRenewal("w", {},
+                                     {ReportedCompletion{CompletionNumber(1), makeTask(jobA, 0, 0),
+                                                         RunNumber(1), RunEnding::Failed}});
+        CHECK(waitingIn(successor) == 0);
+        LeaderBench third(successor.leader().store());
+        CHECK(waitingIn(third) == 0);
+    }
+    SECTION("the job is cancelled")
+    {
+        call(bench, JobVerb::Cancel, "key-of-alpha");
+        CHECK(waitingIn(bench) == 0);
+    }
+}
