Take only the statuses that the platform names for a refusal of an order

An answer to a start with any status except 2xx, 409 and 421 counted as "nothing was done", so the task started elsewhere at once. The platform says so of 400, 429 and 503 only; a worker or an intermediary that fails with 500 or 502 may have executed the order.

--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -307,6 +307,19 @@
     CHECK(verdictOf(503, "") == WorkerVerdict::Refused);
 }
 
+// Guards against a task in two places: a worker that fails after it has executed a start would get
+// its task started elsewhere at once.
+TEST_CASE("Only the statuses that the platform names say that an order was not executed")
+{
+    const auto verdictOf = [](int status) {
+        return decodeAnswer(CallId(1), AnswerFormat::Acknowledgement, status, "{}").verdict;
+    };
+    for (const int status : {400, 429, 503})
+        CHECK(verdictOf(status) == WorkerVerdict::Refused);
+    for (const int status : {301, 404, 408, 500, 502, 504})
+        CHECK(verdictOf(status) == WorkerVerdict::NoAnswer);
+}
+
 TEST_CASE("The adviser's answer is decoded, and an invalid answer differs from an empty one")
 {
     const AdviceResponse response = decodeAdviceResponse(
