Send a start only while its ticket is valid, and a gang only whole

Single tasks lost a refused start.

Cause: a ticket was checked when a start was decided. The start leaves when its record is durable, which takes up to a second beside a version of a large configuration; a decision allows 0.25 s.

Change: the leader looks the ticket up when the record is durable, and takes the newest one. A start that can't be sent any more ends as not started, which counts no attempt and lets the planner ask again; if it belongs to a gang, none of the gang's starts is sent. That holds for each reason for which a start is held back: the ticket, a worker that is gone or only polled, a job that is over.

--- a/control/jobs/advice_coordinator.cpp
+++ b/control/jobs/advice_coordinator.cpp
@@ -13,6 +13,8 @@
 /** Time for one commit and one round trip: an order must reach its worker while the ticket is
  * valid. */
 constexpr Milliseconds TicketMargin{250};
+/** Time for an order's way to its worker through another keeper. */
+constexpr Milliseconds OrderTransitMargin{100};
 /** Allowance for round trips and scheduling delays on top of the adviser's own time. After that
  * the query can go to another host. */
 constexpr Milliseconds CallTimeMargin{250};
@@ -143,13 +145,25 @@
     return {now, found == m_steps.end() ? nullptr : &found->second};
 }
 
-const std::string *Advice::ticket(const WorkerId &worker) const
+const StepAdvice::HeldTicket *Advice::find(const WorkerId &worker) const
 {
     if (m_advice == nullptr)
         return nullptr;
     const auto held = m_advice->tickets.find(worker);
-    return held != m_advice->tickets.end() && isValid(held->second) ? &held->second.ticket
-                                                                    : nullptr;
+    return held == m_advice->tickets.end() ? nullptr : &held->second;
+}
+
+const std::string *Advice::ticket(const WorkerId &worker) const
+{
+    const StepAdvice::HeldTicket *const held = find(worker);
+    return held != nullptr && isValid(*held) ? &held->ticket : nullptr;
+}
+
+const std::string *Advice::ticketToSend(const WorkerId &worker) const
+{
+    const StepAdvice::HeldTicket *const held = find(worker);
+    const bool arrivesInTime = held != nullptr && m_now + OrderTransitMargin < held->validUntil;
+    return arrivesInTime ? &held->ticket : nullptr;
 }
 
 bool Advice::isValid(const StepAdvice::HeldTicket &held) const
--- a/control/jobs/advice_coordinator.h
+++ b/control/jobs/advice_coordinator.h
@@ -37,8 +37,12 @@
         , m_advice(advice)
     {}
 
-    /** The worker's ticket; null if there is none that stays valid long enough to send an order. */
+    /** The worker's ticket; null if there is none that stays valid until a start that is decided
+     * now has been recorded and sent. */
     [[nodiscard]] const std::string *ticket(const WorkerId &worker) const;
+    /** The worker's ticket; null if there is none that stays valid until an order that is sent now
+     * arrives. */
+    [[nodiscard]] const std::string *ticketToSend(const WorkerId &worker) const;
     /** True if the adviser answered that the worker may not run the step. */
     [[nodiscard]] bool isUnsuitable(const WorkerId &worker) const;
     /** Calls \a visit with the id of each worker whose ticket stays valid long enough. */
@@ -55,6 +59,7 @@
 
 private:
     [[nodiscard]] bool isValid(const StepAdvice::HeldTicket &held) const;
+    [[nodiscard]] const StepAdvice::HeldTicket *find(const WorkerId &worker) const;
 
     Instant m_now;
     const StepAdvice *m_advice;
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -128,11 +128,9 @@
 }
 
 void CellLeader::onStartDecided(const JobTaskRef &task, RunNumber run,
-                                const WorkerIncarnation &worker, const std::string &ticket)
+                                const WorkerIncarnation &worker)
 {
     apply(RunOrdered{task, run, worker});
-    if (PooledWorker *const pooled = m_pool.find(worker))
-        pooled->runs.at(task).ticket = ticket;
     m_decisions.starts.push_back(task);
     if (!m_decisions.firstStartAt.has_value())
         m_decisions.firstStartAt = m_now;
@@ -388,6 +386,36 @@
         apply(std::move(forgotten));
 }
 
+std::pair<PooledWorker *, OpenRun *> CellLeader::findUnsentRun(const JobTaskRef &task)
+{
+    const TaskProgress *const progress = jobstore::find(m_store, task);
+    if (progress == nullptr || !progress->mayStillRun)
+        return {};
+    PooledWorker *const worker = m_pool.find(progress->worker);
+    if (worker == nullptr)
+        return {};
+    const auto run = worker->runs.find(task);
+    if (run == worker->runs.end() || run->second.wasSent)
+        return {};
+    return {worker, &run->second};
+}
+
+bool CellLeader::canSendStart(Instant now, const JobTaskRef &task)
+{
+    const auto [worker, run] = findUnsentRun(task);
+    if (run == nullptr || !m_runs.isWanted(task) || worker->isOnlyPolled()
+        || worker->hasUnexpectedRun)
+        return false;
+    if (!m_store.jobs.at(task.step.job).terms.advice.has_value())
+        return true;
+    const std::string *const ticket
+            = m_advice.adviceFor(now, task.step).ticketToSend(worker->report.incarnation.worker);
+    if (ticket == nullptr)
+        return false;
+    run->ticket = *ticket;
+    return true;
+}
+
 void CellLeader::carryOut(Instant now, const DecisionBatch &decisions, Outbox &out)
 {
     m_now = now;
@@ -403,28 +431,27 @@
         worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, number);
         m_runs.sendDueOrders(now, *worker, out);
     }
+    std::set<StepRef> incompleteGangs;
+    for (const JobTaskRef &task : decisions.starts) {
+        const auto job = m_store.jobs.find(task.step.job);
+        if (job != m_store.jobs.end() && job->second.spec.steps[task.step.step].isGang
+            && !canSendStart(now, task))
+            incompleteGangs.insert(task.step);
+    }
     std::set<WorkerIncarnation> touched;
     for (const JobTaskRef &task : decisions.starts) {
-        const TaskProgress *const progress = jobstore::find(m_store, task);
-        if (progress == nullptr || !progress->mayStillRun)
-            continue;
-        PooledWorker *const worker = m_pool.find(progress->worker);
-        if (worker == nullptr)
-            continue;
-        const auto run = worker->runs.find(task);
-        if (run == worker->runs.end() || run->second.wasSent)
+        const auto [worker, run] = findUnsentRun(task);
+        if (run == nullptr)
             continue;
-        const bool isFirst = run->second.run == RunNumber(1);
-        const bool isGang = m_store.jobs.at(task.step.job).spec.steps[task.step.step].isGang;
-        const bool hasBecomeUnusable = worker->isOnlyPolled() || worker->hasUnexpectedRun;
-        if (!m_runs.isWanted(task) || (hasBecomeUnusable && !isGang)) {
+        const WorkerIncarnation incarnation = worker->report.incarnation;
+        if (incompleteGangs.contains(task.step) || !canSendStart(now, task)) {
             // The order has not left this host, so there is nothing to stop.
-            m_runs.endRun(progress->worker, task, RunEnding::NotStarted, out);
+            m_runs.endRun(incarnation, task, RunEnding::NotStarted, out);
             continue;
         }
-        out.count(isFirst ? CellEvent::FirstStart : CellEvent::LaterStart);
+        out.count(run->run == RunNumber(1) ? CellEvent::FirstStart : CellEvent::LaterStart);
         m_runs.orderStart(now, *worker, task, out);
-        touched.insert(progress->worker);
+        touched.insert(incarnation);
     }
     for (const WorkerIncarnation &incarnation : touched) {
         if (PooledWorker *const worker = m_pool.find(incarnation))
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -106,8 +106,8 @@
     {
         m_planner.stepChanged(m_now, step, job);
     }
-    void onStartDecided(const JobTaskRef &task, RunNumber run, const WorkerIncarnation &worker,
-                        const std::string &ticket) override;
+    void onStartDecided(const JobTaskRef &task, RunNumber run,
+                        const WorkerIncarnation &worker) override;
 
     void apply(JobRecord record) override;
     void answer(const CallOrigin &origin, CallAnswer answer) override;
@@ -140,6 +140,12 @@
     void beginDueOccurrences(Milliseconds wall);
     void forgetExpiredJobs();
     void logAdmissionLimit(Outbox &out);
+    /** The run of \a task whose start is durable and not sent yet, with its worker; null if there
+     * is none any more. */
+    [[nodiscard]] std::pair<PooledWorker *, OpenRun *> findUnsentRun(const JobTaskRef &task);
+    /** True if the worker may still be told to start the run. Takes its newest ticket over, since
+     * the one of the decision may have expired while the record became durable. */
+    [[nodiscard]] bool canSendStart(Instant now, const JobTaskRef &task);
     /** Estimates on this host's clock when an earlier leader accepted the job; \a newest is the
      * latest acceptance time of all jobs. */
     [[nodiscard]] Instant estimateArrival(const Job &job, Milliseconds newest) const;
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -141,8 +141,7 @@
             return false;
         const WorkerIncarnation incarnation = worker->report.incarnation;
         --m_startsLeft;
-        handler.onStartDecided({ref, index}, task.lastRun.next(), incarnation,
-                               ticketOf(now, ref, job, incarnation));
+        handler.onStartDecided({ref, index}, task.lastRun.next(), incarnation);
     }
     return false;
 }
@@ -182,8 +181,7 @@
     for (const TaskProgress &task : job.occurrences.at(ref.occurrence).steps[ref.step])
         last = std::max(last, task.lastRun);
     for (std::uint32_t index = 0; index < step.count; ++index)
-        handler.onStartDecided({ref, index}, last.next(), places[index],
-                               ticketOf(now, ref, job, places[index]));
+        handler.onStartDecided({ref, index}, last.next(), places[index]);
     return false;
 }
 
@@ -300,15 +298,6 @@
     return cost;
 }
 
-std::string StartPlanner::ticketOf(Instant now, const StepRef &ref, const Job &job,
-                                   const WorkerIncarnation &incarnation) const
-{
-    if (!job.terms.advice.has_value())
-        return {};
-    const std::string *const ticket = m_advice.adviceFor(now, ref).ticket(incarnation.worker);
-    return ticket == nullptr ? std::string() : *ticket;
-}
-
 void StartPlanner::requestAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out)
 {
     if (!m_advice.canQuery(now, ref, *job.terms.advice))
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -14,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 namespace gentiancross {
@@ -29,9 +28,9 @@
     StartHandler &operator=(const StartHandler &) = delete;
     virtual ~StartHandler() = default;
 
-    /** Called when the task is to run on \a worker; \a ticket is empty where none is needed. */
+    /** Called when the task is to run on \a worker, which has a ticket for it if it needs one. */
     virtual void onStartDecided(const JobTaskRef &task, RunNumber run,
-                                const WorkerIncarnation &worker, const std::string &ticket)
+                                const WorkerIncarnation &worker)
             = 0;
 };
 
@@ -103,8 +102,6 @@
     [[nodiscard]] std::optional<std::int64_t> costOn(Instant now, const PooledWorker &worker,
                                                      const StepRef &ref, const Job &job,
                                                      const PlacementConstraints &constraints);
-    [[nodiscard]] std::string ticketOf(Instant now, const StepRef &ref, const Job &job,
-                                       const WorkerIncarnation &incarnation) const;
 
     const JobStoreData &m_store;
     WorkerPool &m_pool;
--- a/tests/control/jobs/start_planner_test.cpp
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -130,8 +130,7 @@
 class StartCounter final : public StartHandler
 {
 public:
-    void onStartDecided(const JobTaskRef &, RunNumber, const WorkerIncarnation &,
-                        const std::string &) override
+    void onStartDecided(const JobTaskRef &, RunNumber, const WorkerIncarnation &) override
     {
         ++count;
     }
