Stop a gang at once when a member's start is refused

Callers saw, as before: members that have started wait 4 s for one that was refused, and end alone (rule GANG).

Cause: a refusal ended the member's run only; the others went on.

Evidence: start_ticket_test "A gang is stopped at once..." fails on the former code, whichever member is answered first.

Change: a refusal stops the other members of that run; a member whose start is under way is stopped with the next tick after its answer.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -448,7 +448,8 @@
     OpenRun &run = *found;
     PooledWorker &worker = *m_pool.find(call.incarnation);
     settleStart(now, worker, run, answer);
-    run.nextAttempt = now + RetryDelay;
+    // A stop that became due meanwhile does not wait.
+    run.nextAttempt = run.isStopping ? now : now + RetryDelay;
     switch (answer.verdict) {
     case WorkerVerdict::Done:
         m_results.onRunBegun(call.task);
@@ -476,6 +477,26 @@
         run.isStopping = true; // After a stop the worker refuses a start that arrives late.
     else
         endRun(call.incarnation, call.task, RunEnding::NotStarted, out);
+    if (m_store.jobs.at(call.task.step.job).spec.steps[call.task.step.step].isGang)
+        stopGang(now, call.task.step, call.run, out);
+}
+
+void RunTracker::stopGang(Instant now, const StepRef &step, RunNumber run, Outbox &out)
+{
+    const Job &job = m_store.jobs.at(step.job);
+    for (std::uint32_t index = 0; index < job.spec.steps[step.step].count; ++index) {
+        const JobTaskRef task{step, index};
+        const TaskProgress *const progress = jobstore::find(m_store, task);
+        PooledWorker *const worker = progress == nullptr ? nullptr : m_pool.find(progress->worker);
+        if (worker == nullptr)
+            continue;
+        const auto member = worker->runs.find(task);
+        if (member == worker->runs.end() || member->second.run != run || member->second.isStopping)
+            continue;
+        member->second.isStopping = true;
+        member->second.nextAttempt = now;
+        sendDueOrders(now, *worker, out);
+    }
 }
 
 void RunTracker::settleStart(Instant now, const PooledWorker &worker, OpenRun &run,
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -119,6 +119,9 @@
     void handleOtherIncarnation(Instant now, const Call &call, const WorkerAnswer &answer,
                                 Outbox &out);
     void handleStartAnswer(Instant now, const Call &call, const WorkerAnswer &answer, Outbox &out);
+    /** Stops the members of the gang's run, which would wait in vain for the one that was refused.
+     */
+    void stopGang(Instant now, const StepRef &step, RunNumber run, Outbox &out);
     void handleStopAnswer(Instant now, const Call &call, const WorkerAnswer &answer);
     /** \a age is how long the answer was at least in transit. */
     void handleRenewalAnswer(Instant now, const Call &call, const WorkerAnswer &answer,
--- a/tests/control/jobs/start_ticket_test.cpp
+++ b/tests/control/jobs/start_ticket_test.cpp
@@ -76,3 +76,25 @@
     CHECK(cell.approve() == std::set<std::string>{"v"});
     CHECK(bench.takeStarts().size() == (isGang ? 2 : 1));
 }
+
+// Guards against members of a gang that wait `gang_ms` for one whose start was refused.
+TEST_CASE("A gang is stopped at once when a worker refuses to start one of its members")
+{
+    TicketBench cell(true);
+    LeaderBench &bench = cell.bench();
+    cell.approve();
+    bench.sendHeartbeat("w");
+    cell.approve();
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 2);
+    const bool isRefusedFirst = GENERATE(false, true);
+    const WorkerVerdict refusal = WorkerVerdict::NoTicket;
+    bench.answer(starts[0], isRefusedFirst ? refusal : WorkerVerdict::Done);
+    bench.answer(starts[1], isRefusedFirst ? WorkerVerdict::Done : refusal);
+    // What has become due leaves with the next tick.
+    bench.advance(50);
+    const std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].incarnation == starts[isRefusedFirst ? 1 : 0].incarnation);
+    CHECK(bench.takeStarts().empty());
+}
