Stop an unanswered start at a worker that drains instead of repeating it

What callers would see: a task that starts on a worker up to a lease (3 s) after that worker has announced its shutdown, beyond drain_ms (2 to 2.5 s), against the rule DRAIN; it ends with the worker and has to start again.

Cause: repetitions looked only at whether the worker answers (`isOnlyPolled`), not at whether it has begun to drain since the start was decided.

Evidence before the fix: run_tracker_test "An unanswered start is not repeated to a worker that drains" failed in its draining half (starts were repeated, no stop was sent) and held in the half without draining.

Change: a run that is not acknowledged on a draining worker is stopped there. The worker then refuses a copy that comes late, and the task starts elsewhere once the stop is answered and a list lacks the run. Work is lost if the start had been executed and only its answer was missing. A first start that was decided before the draining and becomes durable after it is still sent.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -631,6 +631,9 @@
     for (auto &[task, run] : worker.runs) {
         if (!run.wasSent || run.isCallInFlight || now < run.nextAttempt)
             continue;
+        // The repetition could start the task long after the worker has begun to drain.
+        const bool mustNotStart = !run.wasAcknowledged && worker.report.isDraining;
+        run.isStopping = run.isStopping || mustNotStart;
         if (run.isStopping || !isWanted(task)) {
             run.isCallInFlight = true;
             orderStop(now, worker, task, run.run, out);
--- a/tests/control/jobs/run_tracker_test.cpp
+++ b/tests/control/jobs/run_tracker_test.cpp
@@ -322,3 +322,32 @@
     bench.advance(200);
     CHECK(bench.takeStarts().size() == 1);
 }
+
+// Guards against a task that starts on a worker which has long said that it drains: the start there
+// had got no answer, and was repeated until the lease lapsed.
+TEST_CASE("An unanswered start is not repeated to a worker that drains")
+{
+    constexpr std::int64_t StepMs = 100;
+    constexpr std::int64_t LeaseMs = WorkerPool::LeaseLength.value();
+    const bool isDraining = GENERATE(false, true);
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit("00000000000000aa", {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.sendHeartbeat("v", 1, isDraining);
+    bench.answer(starts[0], WorkerVerdict::NoAnswer);
+    std::size_t repeated = 0;
+    std::size_t stopped = 0;
+    for (std::int64_t passed = 0; passed < LeaseMs; passed += StepMs) {
+        bench.advance(StepMs);
+        for (const CallWorker &start : bench.takeStarts()) {
+            ++repeated;
+            bench.answer(start, WorkerVerdict::NoAnswer);
+        }
+        stopped += bench.takeStops().size();
+    }
+    CHECK((repeated > 0) == !isDraining);
+    CHECK((stopped > 0) == isDraining);
+}
