Check that a task stopped on a draining worker starts elsewhere

A first start that becomes durable after the worker has begun to drain needs no check of its own: its record precedes that of the draining, so the start is sent before the draining is acknowledged. That is from reading.

--- a/tests/control/jobs/run_tracker_test.cpp
+++ b/tests/control/jobs/run_tracker_test.cpp
@@ -351,3 +351,27 @@
     CHECK((repeated > 0) == !isDraining);
     CHECK((stopped > 0) == isDraining);
 }
+
+// Guards against a task that waits on a draining worker until that leaves.
+TEST_CASE("A start that a draining worker has not executed goes to another worker after its list")
+{
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit("00000000000000aa", {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    bench.sendHeartbeat("v", 1, true);
+    bench.sendHeartbeat("w");
+    bench.answer(starts[0], WorkerVerdict::NoAnswer);
+    bench.advance(200);
+    const std::vector<CallWorker> stops = bench.takeStops();
+    REQUIRE(stops.size() == 1);
+    bench.answer(stops[0], WorkerVerdict::Done);
+    // The first list may have been asked for before the stop was answered.
+    bench.answerLeaseRenewal("v", {});
+    bench.answerLeaseRenewal("v", {});
+    const std::vector<CallWorker> next = bench.takeStarts();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].incarnation == makeIncarnation("w"));
+}
