Name the run of a start that waits for the log

A batch of decisions named its starts by task. If a start's run ended while its record was on its way, and the task's next run had been decided before the batch was carried out, the next run's start would leave before its own record is durable, and a successor would not know of that run. CellRoot keeps this from happening by its order of steps: it decides starts only when no entry is in flight, and carries a batch out before it decides again.

A decided start now names its run and leaves only for that run, so the rule does not depend on that order. Members of a gang are matched by their run, too.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -131,7 +131,7 @@
                                 const WorkerIncarnation &worker)
 {
     apply(RunOrdered{task, run, worker});
-    m_decisions.starts.push_back(task);
+    m_decisions.starts.push_back({task, run});
     if (!m_decisions.firstStartAt.has_value())
         m_decisions.firstStartAt = m_now;
 }
@@ -386,23 +386,24 @@
         apply(std::move(forgotten));
 }
 
-std::pair<PooledWorker *, OpenRun *> CellLeader::findUnsentRun(const JobTaskRef &task)
+std::pair<PooledWorker *, OpenRun *> CellLeader::findUnsentRun(const DecidedStart &start)
 {
-    const TaskProgress *const progress = jobstore::find(m_store, task);
+    const TaskProgress *const progress = jobstore::find(m_store, start.task);
     if (progress == nullptr || !progress->mayStillRun)
         return {};
     PooledWorker *const worker = m_pool.find(progress->worker);
     if (worker == nullptr)
         return {};
-    const auto run = worker->runs.find(task);
-    if (run == worker->runs.end() || run->second.wasSent)
+    const auto run = worker->runs.find(start.task);
+    if (run == worker->runs.end() || run->second.run != start.run || run->second.wasSent)
         return {};
     return {worker, &run->second};
 }
 
-bool CellLeader::canSendStart(Instant now, const JobTaskRef &task)
+bool CellLeader::canSendStart(Instant now, const DecidedStart &start)
 {
-    const auto [worker, run] = findUnsentRun(task);
+    const JobTaskRef &task = start.task;
+    const auto [worker, run] = findUnsentRun(start);
     if (run == nullptr || !m_runs.isWanted(task) || worker->isOnlyPolled()
         || worker->hasUnexpectedRun)
         return false;
@@ -431,20 +432,22 @@
         worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, number);
         m_runs.sendDueOrders(now, *worker, out);
     }
-    std::set<StepRef> incompleteGangs;
-    for (const JobTaskRef &task : decisions.starts) {
-        const auto job = m_store.jobs.find(task.step.job);
-        if (job != m_store.jobs.end() && job->second.spec.steps[task.step.step].isGang
-            && !canSendStart(now, task))
-            incompleteGangs.insert(task.step);
+    std::set<std::pair<StepRef, RunNumber>> incompleteGangs;
+    for (const DecidedStart &start : decisions.starts) {
+        const StepRef &step = start.task.step;
+        const auto job = m_store.jobs.find(step.job);
+        if (job != m_store.jobs.end() && job->second.spec.steps[step.step].isGang
+            && !canSendStart(now, start))
+            incompleteGangs.emplace(step, start.run);
     }
     std::set<WorkerIncarnation> touched;
-    for (const JobTaskRef &task : decisions.starts) {
-        const auto [worker, run] = findUnsentRun(task);
+    for (const DecidedStart &start : decisions.starts) {
+        const JobTaskRef &task = start.task;
+        const auto [worker, run] = findUnsentRun(start);
         if (run == nullptr)
             continue;
         const WorkerIncarnation incarnation = worker->report.incarnation;
-        if (incompleteGangs.contains(task.step) || !canSendStart(now, task)) {
+        if (incompleteGangs.contains({task.step, start.run}) || !canSendStart(now, start)) {
             // The order has not left this host, so there is nothing to stop.
             m_runs.endRun(incarnation, task, RunEnding::NotStarted, out);
             continue;
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -24,13 +24,20 @@
     CallAnswer answer;
 };
 
+/** A start that leaves once the record of just this run is durable. */
+struct DecidedStart
+{
+    JobTaskRef task;
+    RunNumber run;
+};
+
 /** Effects that wait until their records are durable: answers to callers, start orders, and
  * acknowledgements that let workers forget listed ends. */
 struct DecisionBatch
 {
     std::vector<JobRecord> records;
     std::vector<OriginAnswer> answers;
-    std::vector<JobTaskRef> starts;
+    std::vector<DecidedStart> starts;
     std::map<WorkerIncarnation, CompletionNumber> acknowledgedEnds;
     /** When the first start was decided and when the first end was recorded. */
     std::optional<Instant> firstStartAt;
@@ -140,12 +147,12 @@
     void beginDueOccurrences(Milliseconds wall);
     void forgetExpiredJobs();
     void logAdmissionLimit(Outbox &out);
-    /** The run of \a task whose start is durable and not sent yet, with its worker; null if there
-     * is none any more. */
-    [[nodiscard]] std::pair<PooledWorker *, OpenRun *> findUnsentRun(const JobTaskRef &task);
+    /** The decided run, which was not sent yet, with its worker; null if it is over. A later run of
+     * the task may be open by then, whose record is not durable. */
+    [[nodiscard]] std::pair<PooledWorker *, OpenRun *> findUnsentRun(const DecidedStart &start);
     /** True if the worker may still be told to start the run. Takes its newest ticket over, since
      * the one of the decision may have expired while the record became durable. */
-    [[nodiscard]] bool canSendStart(Instant now, const JobTaskRef &task);
+    [[nodiscard]] bool canSendStart(Instant now, const DecidedStart &start);
     /** Estimates on this host's clock when an earlier leader accepted the job; \a newest is the
      * latest acceptance time of all jobs. */
     [[nodiscard]] Instant estimateArrival(const Job &job, Milliseconds newest) const;
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -89,6 +89,14 @@
     processDecisions();
 }
 
+void LeaderBench::commitOldest()
+{
+    const DecisionBatch oldest = std::move(m_pendingDecisions.front());
+    m_pendingDecisions.erase(m_pendingDecisions.begin());
+    carryOut(oldest);
+    processDecisions();
+}
+
 std::vector<CallWorker> LeaderBench::startElsewhere(const std::string &silent,
                                                     const std::string &other)
 {
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -57,6 +57,8 @@
     /** Records become durable only after `resumeLog`. */
     void pauseLog() { m_isLogPaused = true; }
     void resumeLog();
+    /** Makes the oldest records durable that wait for the log. Precondition: there are some. */
+    void commitOldest();
     [[nodiscard]] Instant now() const { return m_now; }
 
     /** Take the orders of a kind that were sent since the last such call. */
