Keep a run open on a reused name while its start may be under way

Cause: a start got no answer, its worker restarted under its name, and the next incarnation listed that the run was not there. The task started elsewhere. The worker restarted again, and the third incarnation, which has seen no fencing token, executed the late copy.

Change: on a worker whose name another incarnation has used, no list, end or lapse closes a run while a copy of its start is not settled (PooledWorker::mustStayOpen), for 15 s after the last copy at most. Calls are in transit for 12 s at most. A lapse waits for the longest lease more. Copies go over with the run.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -31,8 +31,14 @@
     Milliseconds newest;
     for (const auto &[id, job] : m_store.jobs)
         newest = std::max(newest, job.acceptedAt);
-    for (const auto &[incarnation, report] : m_store.workers)
-        m_pool.addOrUpdate(now, report).nextLeaseRenewal = now;
+    std::set<WorkerId> leftNames;
+    for (const WorkerIncarnation &left : m_store.leftWorkers)
+        leftNames.insert(left.worker);
+    for (const auto &[incarnation, report] : m_store.workers) {
+        PooledWorker &worker = m_pool.addOrUpdate(now, report);
+        worker.nextLeaseRenewal = now;
+        worker.isNameReused = leftNames.contains(incarnation.worker);
+    }
     for (const auto &[id, job] : m_store.jobs) {
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/control/jobs/run_end_recorder.cpp
+++ b/control/jobs/run_end_recorder.cpp
@@ -25,7 +25,7 @@
     , m_results(results)
 {}
 
-void RunEndRecorder::recordEnds(Instant now, PooledWorker &worker,
+void RunEndRecorder::recordEnds(Instant now, Instant askedAt, PooledWorker &worker,
                                 const std::vector<ReportedCompletion> &ended, Outbox &out)
 {
     const WorkerIncarnation incarnation = worker.report.incarnation;
@@ -35,6 +35,8 @@
     for (const ReportedCompletion &end : ordered) {
         if (end.number <= worker.recordedEnd)
             continue;
+        if (mustWait(worker, end, askedAt))
+            break;
         worker.recordedEnd = end.number;
         RunMetrics::recordListedEnd(now, worker, end, out);
         out.note(end.task.step.job.value(),
@@ -56,6 +58,15 @@
     }
 }
 
+bool RunEndRecorder::mustWait(PooledWorker &worker, const ReportedCompletion &end, Instant askedAt)
+{
+    const auto found = worker.runs.find(end.task);
+    if (found == worker.runs.end() || found->second.run != end.run)
+        return false;
+    found->second.startCopies.settleListed();
+    return worker.mustStayOpen(found->second, askedAt);
+}
+
 void RunEndRecorder::updateAcknowledgeable(PooledWorker &worker, const ReportedCompletion &end,
                                            Outbox &out)
 {
--- a/control/jobs/run_end_recorder.h
+++ b/control/jobs/run_end_recorder.h
@@ -19,11 +19,14 @@
     /** All must outlive this object. */
     RunEndRecorder(const JobStoreData &store, WorkerPool &pool, RunResultHandler &results);
 
-    /** Records the ends in \a ended that are new, in the order of their numbers. */
-    void recordEnds(Instant now, PooledWorker &worker, const std::vector<ReportedCompletion> &ended,
-                    Outbox &out);
+    /** Records the ends in \a ended that are new, in the order of their numbers, up to the first
+     * of a run that must stay open. The list was asked for at \a askedAt. */
+    void recordEnds(Instant now, Instant askedAt, PooledWorker &worker,
+                    const std::vector<ReportedCompletion> &ended, Outbox &out);
 
 private:
+    /** True if the end must wait, since a copy of the run's start may still be under way. */
+    static bool mustWait(PooledWorker &worker, const ReportedCompletion &end, Instant askedAt);
     /** Decides whether ends up to \a end may be acknowledged. One that was listed only after a
      * later run was ordered must not be: the later run would be a start after an end that counts.
      */
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -133,6 +133,7 @@
 
 void RunTracker::verifySuccessor(Instant now, PooledWorker &worker, Outbox &out)
 {
+    worker.isNameReused = true;
     requireList(now, m_pool, worker);
     WorkerPool::recordForeignLease(worker, now);
     sendDueOrders(now, worker, out);
@@ -212,16 +213,17 @@
     std::set<JobTaskRef> listed;
     for (const ReportedRun &each : running)
         listed.insert(each.task);
-    std::map<JobTaskRef, RunNumber> moved;
+    std::map<JobTaskRef, OpenRun> moved;
     for (const auto &[task, run] : worker->runs) {
         // An answer to a start does not state which incarnation has executed it.
         const bool mayBeThere = run.wasSent && (!run.wasListed || run.mayArriveLate);
         if (old.worker == next.worker && (mayBeThere || listed.contains(task)))
-            moved.emplace(task, run.run);
+            moved.emplace(task, run);
     }
     if (old.worker == next.worker) {
         out.count(CellEvent::WorkerRestarted);
         PooledWorker &successor = *m_pool.find(next);
+        successor.isNameReused = true;
         if (!moved.empty() || mayGrantLate(*worker))
             WorkerPool::recordForeignLease(successor, now);
         // Orders for the former incarnation that are still in flight must not reach the next one.
@@ -229,18 +231,22 @@
         if (successor.revision <= worker->revision)
             requireList(now, m_pool, successor);
     }
-    for (const auto &[task, number] : moved) {
+    for (const auto &[task, former] : moved) {
         out.note(task.step.job.value(),
                  absl::StrCat("run may be executing in the next incarnation: task=", nameOf(task),
-                              " run=", number.value(), " worker=", next.worker.value(),
+                              " run=", former.run.value(), " worker=", next.worker.value(),
                               " born=", next.born.value()));
         out.count(CellEvent::RunMoved);
-        m_results.apply(RunMoved{task, number, next});
+        m_results.apply(RunMoved{task, former.run, next});
         OpenRun &run = m_pool.find(next)->runs.at(task);
         run.wasSent = true;
         run.mayArriveLate = true;
         run.isStopping = true;
-        run.startCopies.addUntraceable(now);
+        run.isInherited = former.isInherited;
+        run.startCopies = former.startCopies;
+        // An earlier leader's copies were not counted.
+        if (former.isInherited)
+            run.startCopies.makeUntraceable();
     }
     // Its heartbeats and leave calls that are still in transit must not count.
     removeIncarnation(old, WorkerLeft{old}, "replaced by another incarnation", out);
@@ -524,8 +530,11 @@
         worker.isUnverified = false;
     worker.listedAt = now - age;
     worker.droppedEnd = std::max(worker.droppedEnd, call.acknowledgedEnd);
-    m_ends.recordEnds(now, worker, answer.ended, out);
-    if (worker.hasUnacknowledgeableEnd)
+    m_ends.recordEnds(now, call.sentAt, worker, answer.ended, out);
+    const bool hasWaitingEnd
+            = std::any_of(answer.ended.begin(), answer.ended.end(),
+                          [&worker](const auto &end) { return end.number > worker.recordedEnd; });
+    if (worker.hasUnacknowledgeableEnd || hasWaitingEnd)
         worker.nextLeaseRenewal = now + WithheldEndPollInterval;
     reconcileRuns(now, worker, call, answer, out);
     if (worker.hasNewAcknowledgement() && worker.hasUnsettledStart(now))
@@ -565,7 +574,8 @@
         const auto before = call.acknowledged.find(task);
         const bool wasAcknowledgedBefore
                 = before != call.acknowledged.end() && before->second == run.run;
-        if (!present.contains(task) && wasAcknowledgedBefore && run.wasAcknowledged)
+        if (!present.contains(task) && wasAcknowledgedBefore && run.wasAcknowledged
+            && !worker.mustStayOpen(run, call.sentAt))
             lost.push_back(task);
     }
     for (const JobTaskRef &task : lost)
@@ -583,10 +593,21 @@
 {
     constexpr Milliseconds MaxWorkerSilence{15'000};
     std::vector<WorkerIncarnation> gone;
+    // A further incarnation may hold a lease that came with a late start.
+    const Instant lastLease = now - WorkerPool::longestLease();
     for (auto &[incarnation, worker] : m_pool.all()) {
         const bool isSilent = now - worker.lastHeartbeat > MaxWorkerSilence;
         if ((worker.runs.empty() && !isSilent) || !m_pool.isLapsed(worker, now))
             continue;
+        std::size_t staying = 0;
+        for (auto &[task, run] : worker.runs) {
+            if (!worker.mustStayOpen(run, lastLease))
+                continue;
+            run.isStopping = true;
+            ++staying;
+        }
+        if (staying > 0 && staying == worker.runs.size())
+            continue;
         RunMetrics::recordLapsedLease(now, worker, out);
         // A start that arrives late would be executed beside the task's next run once the worker
         // has a lease again.
@@ -595,26 +616,25 @@
                       return entry.second.wasSent
                               && (!entry.second.wasAcknowledged || entry.second.mayArriveLate);
                   });
-        endSentRuns(incarnation, worker, RunEnding::Lapsed, out);
+        endLapsedRuns(worker, lastLease, out);
         if (mayStartLate)
             m_pool.raiseRevision(worker);
-        if (isSilent)
+        if (isSilent && staying == 0)
             gone.push_back(incarnation);
     }
     for (const WorkerIncarnation &incarnation : gone)
         endIncarnation(incarnation, "no heartbeat and no answer", out);
 }
 
-void RunTracker::endSentRuns(const WorkerIncarnation &incarnation, const PooledWorker &worker,
-                             RunEnding ending, Outbox &out)
+void RunTracker::endLapsedRuns(const PooledWorker &worker, Instant lastLease, Outbox &out)
 {
     std::vector<JobTaskRef> tasks;
     for (const auto &[task, run] : worker.runs) {
-        if (run.wasSent)
+        if (run.wasSent && !worker.mustStayOpen(run, lastLease))
             tasks.push_back(task);
     }
     for (const JobTaskRef &task : tasks)
-        endRun(incarnation, task, ending, out);
+        endRun(worker.report.incarnation, task, RunEnding::Lapsed, out);
 }
 
 bool RunTracker::isWanted(const JobTaskRef &task) const
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -126,10 +126,11 @@
     void reconcileRuns(Instant now, PooledWorker &worker, const Call &call,
                        const WorkerAnswer &answer, Outbox &out);
     void endRuns(const WorkerIncarnation &incarnation, RunEnding ending, Outbox &out);
-    /** Ends the runs whose orders may have been sent; the others have not been ordered yet. */
-    void endSentRuns(const WorkerIncarnation &incarnation, const PooledWorker &worker,
-                     RunEnding ending, Outbox &out);
     void endLapsedRuns(Instant now, Outbox &out);
+    /** Ends the runs on a worker with a lapsed lease whose orders may have been sent; the others
+     * have not been ordered yet. Those stay that may begin in a further incarnation, or have begun
+     * there after \a lastLease. */
+    void endLapsedRuns(const PooledWorker &worker, Instant lastLease, Outbox &out);
     /** Sends the lease renewal if it is due. */
     void sendDueRenewal(Instant now, PooledWorker &worker, Outbox &out);
     /** True if an acknowledgement waits for starts; begins and ends such a wait. */
--- a/control/jobs/start_copies.h
+++ b/control/jobs/start_copies.h
@@ -2,6 +2,7 @@
 
 #include "core/units.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace gentiancross {
@@ -14,8 +15,9 @@
 class StartCopies
 {
 public:
-    /** A copy without an answer counts as settled after this time: what waits for it must not wait
-     * for a run that takes minutes, since a worker lists at most 500 ends. */
+    /** A copy without an answer counts as settled after this time, which is longer than a call can
+     * be in transit: what waits for it must not wait for a run that takes minutes, since a worker
+     * lists at most 500 ends. */
     static constexpr Milliseconds MaxAge{15'000};
 
     /** Records that a copy is sent. */
@@ -40,11 +42,12 @@
         if (m_sent == 1)
             m_unsettled = 0;
     }
-    /** Records that no list can settle the copies that were sent. */
-    void addUntraceable(Instant now)
+    /** Records that others may have been sent, so that no list can settle them. Precondition: one
+     * was added. */
+    void makeUntraceable()
     {
-        add(now);
-        add(now);
+        m_sent = std::max<std::uint32_t>(m_sent, 2);
+        m_unsettled = std::max<std::uint32_t>(m_unsettled, 1);
     }
 
     [[nodiscard]] bool areSettled(Instant now) const
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -191,9 +191,14 @@
     worker.revision = m_lastRevision;
 }
 
+Milliseconds WorkerPool::longestLease()
+{
+    return Milliseconds(MaxLease.value() * 1000 / SlowestClockPermille);
+}
+
 void WorkerPool::recordForeignLease(PooledWorker &worker, Instant now)
 {
-    worker.foreignLeaseUntil = now + Milliseconds(MaxLease.value() * 1000 / SlowestClockPermille);
+    worker.foreignLeaseUntil = now + longestLease();
 }
 
 bool WorkerPool::isLapsed(const PooledWorker &worker, Instant now) const
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -127,6 +127,8 @@
     /** True while a claim with its name and address is asked for: if the claim is true, new runs
      * would reach the next incarnation. */
     bool isContested = false;
+    /** True if another incarnation has used its name, so that a further one may follow. */
+    bool isNameReused = false;
     /** Raised to invalidate orders that may still arrive. */
     FenceRevision revision;
     /** True if its newest list contains a run that is not tracked; the run uses capacity until it
@@ -154,6 +156,13 @@
             return entry.second.mayDelayAcknowledgement(now);
         });
     }
+    /** True if a copy of the start may be under way at \a at. A further incarnation under the name,
+     * which has seen no fencing token, would execute it beside the task's next run, or after an end
+     * that was acknowledged. Precondition: the run is open here. */
+    [[nodiscard]] bool mustStayOpen(const OpenRun &run, Instant at) const
+    {
+        return isNameReused && run.wasSent && run.mayDelayAcknowledgement(at);
+    }
     /** Number of ends that the worker keeps listing until they are acknowledged. */
     [[nodiscard]] std::uint64_t unacknowledgedEndCount() const
     {
@@ -180,6 +189,9 @@
      * `hold_max_ms`). */
     static constexpr Milliseconds MaxLease{10'000};
 
+    /** `MaxLease` on this host's clock, if the worker's is as slow as it may be. */
+    static Milliseconds longestLease();
+
     explicit WorkerPool(Instant takenOver)
         : m_takenOver(takenOver)
     {}
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -500,3 +500,51 @@
     bench.answerWithRuns(*poll, {}, {});
     CHECK(bench.takeStarts().size() == 1);
 }
+
+// Guards against two runs at a time: a start without an answer was executed by the worker's third
+// incarnation, which has seen no fencing token, while the task ran elsewhere.
+TEST_CASE("A task starts elsewhere only when no copy of a start can reach a further incarnation")
+{
+    constexpr std::int64_t LongestTransit = 12'000;
+    constexpr std::int64_t Step = 100;
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoAnswer);
+    const Instant sentAt = bench.now();
+    const bool hasSecondCopy = GENERATE(false, true);
+    if (hasSecondCopy) {
+        bench.advance(Step + Step);
+        REQUIRE(bench.takeStarts().size() == 1);
+    }
+    bench.sendHeartbeat("w");
+    bench.sendHeartbeat("v", 2);
+    bench.confirm("v", 2);
+    std::int64_t born = 2;
+    while ((bench.now() - sentAt).value() < LongestTransit) {
+        bench.advance(Step);
+        bench.sendHeartbeat("w");
+        CHECK(bench.takeStarts().empty());
+        for (const CallWorker &stop : bench.takeStops())
+            bench.answer(stop, WorkerVerdict::Done);
+        if ((bench.now() - sentAt).value() > LongestTransit / 2 && born == 2) {
+            born = 3;
+            bench.sendHeartbeat("v", born);
+            bench.confirm("v", born);
+        }
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answerWithRuns(*renewal, {}, {});
+    }
+    std::vector<CallWorker> starts;
+    for (int step = 0; step < 60 && starts.empty(); ++step) {
+        bench.advance(Step);
+        bench.sendHeartbeat("w");
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answerWithRuns(*renewal, {}, {});
+        for (const CallWorker &stop : bench.takeStops())
+            bench.answer(stop, WorkerVerdict::Done);
+        starts = bench.takeStarts();
+    }
+    CHECK(starts.size() == 1);
+}
