--- a/tests/control/jobs/start_durability_test.cpp
+++ b/tests/control/jobs/start_durability_test.cpp
@@ -5,9 +5,8 @@
 using namespace gentiancross;
 using namespace gentiancross::tests;
 
-// Guards against a task in two places after a change of leaders: its worker ended while the start
-// was on its way to the log, and the start elsewhere left before it was durable, so that the next
-// leader did not know it.
+// Guards against a start that leaves before its record is durable, if starts are ever decided while
+// records of the same task are on their way: a successor would not know of that run.
 TEST_CASE("A start decided while an earlier one of its task is not durable yet waits for its own")
 {
     LeaderBench bench;
