Don't take a run for lost whose end stands behind a waiting one

On a worker under a reused name, callers would see a task run again although the worker lists its end (TWICE; found by review, shown by a test).

Cause: ends are recorded up to the first that must wait, since a copy of its start may still be under way. Runs whose ends stand behind it are no longer listed as running, so they were closed as lost and started elsewhere.

An end in the list that is not recorded yet now keeps its run open. The new test fails on the code before (a start elsewhere) and passes now.

--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -590,13 +590,18 @@
         out.count(CellEvent::EndListFull);
         return;
     }
+    std::set<std::pair<JobTaskRef, RunNumber>> waitingEnds;
+    for (const ReportedCompletion &end : answer.ended) {
+        if (end.number > worker.recordedEnd)
+            waitingEnds.emplace(end.task, end.run);
+    }
     std::vector<JobTaskRef> lost;
     for (const auto &[task, run] : worker.runs) {
         const auto before = call.acknowledged.find(task);
         const bool wasAcknowledgedBefore
                 = before != call.acknowledged.end() && before->second == run.run;
         if (!present.contains(task) && wasAcknowledgedBefore && run.wasAcknowledged
-            && !worker.mustStayOpen(run, call.sentAt))
+            && !worker.mustStayOpen(run, call.sentAt) && !waitingEnds.contains({task, run.run}))
             lost.push_back(task);
     }
     for (const JobTaskRef &task : lost)
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -548,3 +548,34 @@
     }
     CHECK(starts.size() == 1);
 }
+
+// Guards against a task that starts again although its worker lists its end, since that end stands
+// behind one that must wait.
+TEST_CASE("An end that stands behind a waiting one is no lost run")
+{
+    constexpr std::int64_t Step = 100;
+    constexpr std::int64_t LatestEnd = 16'000;
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.sendHeartbeat("v", 2);
+    bench.confirm("v", 2);
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoAnswer);
+    bench.advance(Step + Step);
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.submit(otherJob, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    bench.answerWithRuns(takeRenewal(bench, "v"), {listed(job, 1), listed(otherJob, 1)}, {});
+    bench.sendHeartbeat("w");
+    for (std::int64_t passed = 0; passed < LatestEnd; passed += Step) {
+        bench.advance(Step);
+        bench.sendHeartbeat("v", 2);
+        bench.sendHeartbeat("w");
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answerWithRuns(*renewal, {}, {ended(1, job, 1), ended(2, otherJob, 1)});
+        CHECK(bench.takeStarts().empty());
+    }
+    for (const std::string &each : {job, otherJob})
+        CHECK(std::get<JobStateReport>(bench.queryJob(each)).state == JobState::Completed);
+}
