--- a/tests/control/jobs/run_tracker_test.cpp
+++ b/tests/control/jobs/run_tracker_test.cpp
@@ -99,6 +99,17 @@
     CompletionNumber m_acknowledged;
 };
 
+/** Submits a job of one task, and returns its start on "v", the only worker. */
+CallWorker startOnV(LeaderBench &bench)
+{
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit("00000000000000aa", {makeStep(1, 100)});
+    const std::vector<CallWorker> starts = bench.takeStarts();
+    REQUIRE(starts.size() == 1);
+    return starts[0];
+}
+
 } // namespace
 
 // Guards against a list of ends that grows to its limit, after which runs on that worker never
@@ -344,20 +355,16 @@
     constexpr std::int64_t LeaseMs = WorkerPool::LeaseLength.value();
     const bool isDraining = GENERATE(false, true);
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit("00000000000000aa", {makeStep(1, 100)});
-    const std::vector<CallWorker> starts = bench.takeStarts();
-    REQUIRE(starts.size() == 1);
+    const CallWorker start = startOnV(bench);
     bench.sendHeartbeat("v", 1, isDraining);
-    bench.answer(starts[0], WorkerVerdict::NoAnswer);
+    bench.answer(start, WorkerVerdict::NoAnswer);
     std::size_t repeated = 0;
     std::size_t stopped = 0;
     for (std::int64_t passed = 0; passed < LeaseMs; passed += StepMs) {
         bench.advance(StepMs);
-        for (const CallWorker &start : bench.takeStarts()) {
+        for (const CallWorker &repetition : bench.takeStarts()) {
             ++repeated;
-            bench.answer(start, WorkerVerdict::NoAnswer);
+            bench.answer(repetition, WorkerVerdict::NoAnswer);
         }
         stopped += bench.takeStops().size();
     }
@@ -369,14 +376,10 @@
 TEST_CASE("A start that a draining worker has not executed goes to another worker after its list")
 {
     LeaderBench bench;
-    bench.configure();
-    bench.sendHeartbeat("v");
-    bench.submit("00000000000000aa", {makeStep(1, 100)});
-    const std::vector<CallWorker> starts = bench.takeStarts();
-    REQUIRE(starts.size() == 1);
+    const CallWorker start = startOnV(bench);
     bench.sendHeartbeat("v", 1, true);
     bench.sendHeartbeat("w");
-    bench.answer(starts[0], WorkerVerdict::NoAnswer);
+    bench.answer(start, WorkerVerdict::NoAnswer);
     bench.advance(200);
     const std::vector<CallWorker> stops = bench.takeStops();
     REQUIRE(stops.size() == 1);
