Review case 6: a held start runs in a worker's next life beside run 2

From the first of the open faults in docs/CELL.md: a start that is on its way when its worker crashes is closed by the lapse, and executed by the worker's next life under the same name. The other cases are renumbered, the gravest first.

Tried: review/6/run.sh.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 trap stop_all EXIT
 trap 'kill "$CASE"; exit 2' TERM INT
 start_cell
-timeout 110 "$STANDINS/serving" "$NET" "${TROUBLE:-1}" "$HERE/record.txt" &
+timeout 110 "$STANDINS/urgent" "$NET" "${TROUBLE:-1}" "$HERE/record.txt" &
 CASE=$!
 wait "$CASE"
 STATUS=$?
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -284,7 +284,7 @@
         , m_cpu(cpu)
         , m_memory(memory)
         , m_keepers(std::move(keepers))
-        , m_server(ip, port, [this](const Server::Request &request) { return handle(request); })
+        , m_server(ip, port, [this](const Server::Request &request) { return receive(request); })
     {}
     ~Worker() { stop(); }
 
@@ -310,6 +310,29 @@
         }
         m_changed.notify_all();
     }
+    /** A lost worker starts again under its id; it holds and knows nothing of before. Its first
+     * heartbeat follows after \a firstBeatMs. */
+    void restart(std::int64_t firstBeatMs)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_highestEnded.clear();
+        m_ends.clear();
+        m_lastEnd = 0;
+        m_sequence = 0;
+        m_fence = 0;
+        m_leaseUntil = 0;
+        m_born = std::max(wallMs(), m_born + 1);
+        m_begun = Clock::now();
+        m_nextBeat = Clock::now() + std::chrono::milliseconds(firstBeatMs);
+        m_isDown = false;
+        ++m_life;
+        m_record.line(m_id + " starts again under its id");
+    }
+    /** Delivers an order that was held on its way. */
+    std::pair<int, std::string> deliver(const std::string &path, const std::string &body)
+    {
+        return handle({"POST", path, m_id, body});
+    }
     void stop()
     {
         if (m_isStopping.exchange(true))
@@ -338,6 +361,9 @@
     [[nodiscard]] const std::string &id() const { return m_id; }
     /** Called for each start that is carried out, with the spec of the order. */
     std::function<void(const std::string &task, std::uint64_t run, const std::string &spec)> onStart;
+    /** What lies between the keepers and the worker: returns true if it holds the order, which gets
+     * no response then. Set before the start. */
+    std::function<bool(const Server::Request &)> holdBack;
     /** Returns false if the ticket does not allow the step here. */
     std::function<bool(const std::string &task, const std::string &ticket)> checkTicket;
 
@@ -383,13 +409,23 @@
         json["reason"] = reason;
         return reply(409, json);
     }
+    std::pair<int, std::string> receive(const Server::Request &request)
+    {
+        if (holdBack && holdBack(request)) {
+            for (int waited = 0; waited < 3000 && !m_isStopping; waited += 50)
+                sleepMs(50); // Longer than the caller's time-out.
+            return {0, {}};
+        }
+        return handle(request);
+    }
     std::pair<int, std::string> handle(const Server::Request &request)
     {
         std::unique_lock lock(m_mutex);
         // A worker that is lost answers nothing; the caller's time-out ends the call.
+        const std::uint64_t life = m_life;
         while (m_isDown && !m_isStopping)
-            m_changed.wait_for(lock, std::chrono::milliseconds(200));
-        if (m_isStopping)
+            m_changed.wait_for(lock, std::chrono::milliseconds(20));
+        if (m_isStopping || m_life != life)
             return {0, {}};
         if (request.target != m_id)
             return reply(421, Json::Value(Json::objectValue));
@@ -420,8 +456,8 @@
         while (m_ends.empty() && !m_isStopping && !m_isDown && Clock::now() < until)
             m_changed.wait_until(lock, until);
         while (m_isDown && !m_isStopping)
-            m_changed.wait_for(lock, std::chrono::milliseconds(200));
-        if (m_isStopping)
+            m_changed.wait_for(lock, std::chrono::milliseconds(20));
+        if (m_isStopping || m_life != life)
             return {0, {}};
         Json::Value lists;
         lists["running"] = Json::Value(Json::arrayValue);
@@ -512,9 +548,13 @@
         while (!m_isStopping) {
             Json::Value json;
             {
-                const std::lock_guard lock(m_mutex);
-                if (m_isDown)
-                    return;
+                std::unique_lock lock(m_mutex);
+                if (m_isDown || Clock::now() < m_nextBeat) {
+                    named.clear();
+                    lock.unlock();
+                    sleepMs(10);
+                    continue;
+                }
                 json["service"] = m_service;
                 json["addr"] = m_address;
                 json["zone"] = m_zone;
@@ -536,8 +576,8 @@
                                        "", toText(json), 1000);
             if (answer.status / 100 == 2) {
                 named = fromText(answer.body).get("heartbeat_addr", "").asString();
-                for (int slept = 0; slept < 1500 && !m_isStopping; slept += 50)
-                    sleepMs(50);
+                const std::lock_guard lock(m_mutex);
+                m_nextBeat = std::max(m_nextBeat, Clock::now() + std::chrono::milliseconds(1500));
             } else {
                 named.clear();
                 next = (next + 1) % m_keepers.size();
@@ -567,6 +607,8 @@
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseUntil = 0;
     bool m_isDown = false;
+    std::uint64_t m_life = 1;
+    Clock::time_point m_nextBeat;
     std::atomic<bool> m_isStopping{false};
     Server m_server;
     std::vector<std::thread> m_threads;
