Review case 10: a worker that was cut off is given no more work

A worker whose task ended during a cut of 5 s keeps an end that must not be acknowledged, and with it all later ends. With a long-running task it gets no more starts once it lists 400 of them.

Tried: review/10/run.sh.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,7 +6,7 @@
 trap stop_all EXIT
 trap 'kill "$CASE"; exit 2' TERM INT
 start_cell
-timeout 110 "$STANDINS/lasting" "$NET" "${TROUBLE:-1}" "$HERE/record.txt" &
+timeout 110 "$STANDINS/ends" "$NET" "${TROUBLE:-1}" "$HERE/record.txt" &
 CASE=$!
 wait "$CASE"
 STATUS=$?
--- a/review/standin-2/case.h
+++ b/review/standin-2/case.h
@@ -66,13 +66,13 @@
                 2500);
         return adviser->start();
     }
-    bool addWorker(int cpu, int memory)
+    bool addWorker(int cpu, int memory, const std::string &kind = "a")
     {
         const int n = int(workers.size()) + 1;
         workers.push_back(std::make_unique<Worker>(
                 record, "w-" + std::to_string(n), net + "4." + std::to_string(n),
                 std::uint16_t(8080), "pool", "z" + std::to_string(1 + n % 4),
-                "r-" + std::to_string(n % 2), cpu, memory, keepers));
+                "r-" + std::to_string(n % 2), cpu, memory, keepers, kind));
         Worker &worker = *workers.back();
         worker.checkTicket = [this, &worker](const std::string &task, const std::string &ticket) {
             return adviser == nullptr || adviser->isValid(stepOf(task), worker.id(), ticket);
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -274,7 +274,8 @@
 {
 public:
     Worker(Record &record, std::string id, std::string ip, std::uint16_t port, std::string service,
-           std::string zone, std::string rack, int cpu, int memory, Addresses keepers)
+           std::string zone, std::string rack, int cpu, int memory, Addresses keepers,
+           std::string kind = "a")
         : m_record(record)
         , m_id(std::move(id))
         , m_address(ip + ':' + std::to_string(port))
@@ -284,6 +285,7 @@
         , m_cpu(cpu)
         , m_memory(memory)
         , m_keepers(std::move(keepers))
+        , m_kind(std::move(kind))
         , m_server(ip, port, [this](const Server::Request &request) { return receive(request); })
     {}
     ~Worker() { stop(); }
@@ -328,6 +330,20 @@
         ++m_life;
         m_record.line(m_id + " starts again under its id");
     }
+    /** Cuts the worker off from all keepers, both ways, or joins it again. It runs on meanwhile; what
+     * was sent to it is lost. */
+    void setCut(bool isCut)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isCut = isCut;
+        m_record.line(m_id + (isCut ? " is cut off" : " is joined again"));
+    }
+    /** Numbers of the ends that it lists. */
+    std::size_t listedEnds()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ends.size();
+    }
     /** Delivers an order that was held on its way. */
     std::pair<int, std::string> deliver(const std::string &path, const std::string &body)
     {
@@ -416,7 +432,14 @@
                 sleepMs(50); // Longer than the caller's time-out.
             return {0, {}};
         }
-        return handle(request);
+        bool wasCut = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            wasCut = m_isCut;
+        }
+        for (int waited = 0; wasCut && waited < 3000 && !m_isStopping; waited += 50)
+            sleepMs(50);
+        return wasCut ? std::pair<int, std::string>() : handle(request);
     }
     std::pair<int, std::string> handle(const Server::Request &request)
     {
@@ -457,7 +480,7 @@
             m_changed.wait_until(lock, until);
         while (m_isDown && !m_isStopping)
             m_changed.wait_for(lock, std::chrono::milliseconds(20));
-        if (m_isStopping || m_life != life)
+        if (m_isStopping || m_life != life || m_isCut)
             return {0, {}};
         Json::Value lists;
         lists["running"] = Json::Value(Json::arrayValue);
@@ -549,7 +572,7 @@
             Json::Value json;
             {
                 std::unique_lock lock(m_mutex);
-                if (m_isDown || Clock::now() < m_nextBeat) {
+                if (m_isDown || m_isCut || Clock::now() < m_nextBeat) {
                     named.clear();
                     lock.unlock();
                     sleepMs(10);
@@ -565,7 +588,7 @@
                 json["capacity"]["cpu"] = m_cpu;
                 json["capacity"]["mem_mb"] = m_memory;
                 json["capacity"]["gpu"] = 0;
-                json["labels"].append("a");
+                json["labels"].append(m_kind);
                 json["labels"].append(m_rack);
                 json["clock_ms"] = Json::Int64(clockMs());
                 json["born"] = Json::Int64(m_born);
@@ -595,6 +618,7 @@
     const int m_cpu;
     const int m_memory;
     const Addresses m_keepers;
+    const std::string m_kind;
     std::int64_t m_born = 0;
     Clock::time_point m_begun;
     std::mutex m_mutex;
@@ -607,6 +631,7 @@
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseUntil = 0;
     bool m_isDown = false;
+    bool m_isCut = false;
     std::uint64_t m_life = 1;
     Clock::time_point m_nextBeat;
     std::atomic<bool> m_isStopping{false};
