Keep a run open while its start may reach the worker's next incarnation

Cause: endLapsedRuns kept runs with a copy in transit only on names that had been used before. A next incarnation has seen no fencing token and its clock begins anew, so nothing in the order makes it refuse the copy, except a ticket, which is valid for one incarnation.

A run whose start got no answer and carries no ticket now outlasts the lease for 15 s after its last copy. A leave call is deferred for it.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -110,6 +110,7 @@
     run.hasTailTarget = step.isLongRunning && step.tailLatencyTarget > Milliseconds(0);
     run.isBestEffort = step.isBestEffort;
     run.isLongRunning = step.isLongRunning;
+    run.needsTicket = job.terms.advice.has_value();
     run.shouldLapse = WorkerPool::shouldLapse(*worker, step);
     WorkerPool::open(*worker, task, std::move(run));
 }
@@ -304,8 +305,8 @@
     return unknown;
 }
 
-void CellLeader::handle(Instant, Milliseconds, const CallOrigin &origin, const WorkerLeave &call,
-                        Outbox &out)
+void CellLeader::handle(Instant now, Milliseconds, const CallOrigin &origin,
+                        const WorkerLeave &call, Outbox &out)
 {
     std::vector<WorkerIncarnation> ended;
     for (const auto &[incarnation, worker] : m_pool.all()) {
@@ -322,6 +323,11 @@
             out.count(CellEvent::WorkerMessageRefused);
             continue;
         }
+        if (m_pool.find(incarnation)->mayStartRunInNextIncarnation(now)) {
+            out.note(incarnation.worker.value(),
+                     "leave deferred: a start may still arrive, and its runs end with the lease");
+            continue;
+        }
         m_runs.endIncarnation(incarnation, "it has left the cell", out);
         apply(WorkerLeft{incarnation});
     }
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -510,6 +510,7 @@
 {
     if (answer.verdict == WorkerVerdict::NoAnswer)
         return;
+    run.startCopies.recordAnswer();
     // A copy that was refused is not executed later, whichever incarnation has refused it.
     const bool wasExecuted
             = answer.verdict == WorkerVerdict::Done || answer.verdict == WorkerVerdict::Superseded;
@@ -619,17 +620,19 @@
 {
     constexpr Milliseconds MaxWorkerSilence{15'000};
     std::vector<WorkerIncarnation> gone;
-    // A further incarnation may hold a lease that came with a late start.
-    const Instant lastLease = now - WorkerPool::longestLease();
     for (auto &[incarnation, worker] : m_pool.all()) {
         const bool isSilent = now - worker.lastHeartbeat > MaxWorkerSilence;
         if ((worker.runs.empty() && !isSilent) || !m_pool.isLapsed(worker, now))
             continue;
         std::size_t staying = 0;
         for (auto &[task, run] : worker.runs) {
-            if (!worker.mustStayOpen(run, lastLease))
+            if (!outlastsLease(now, worker, run))
                 continue;
-            run.isStopping = true;
+            if (!std::exchange(run.isStopping, true))
+                out.note(task.step.job.value(),
+                         absl::StrCat("lapsed run stays open: its start may still arrive: task=",
+                                      nameOf(task), " run=", run.run.value(),
+                                      " worker=", incarnation.worker.value()));
             ++staying;
         }
         if (staying > 0 && staying == worker.runs.size())
@@ -642,7 +645,7 @@
                       return entry.second.wasSent
                               && (!entry.second.wasAcknowledged || entry.second.mayArriveLate);
                   });
-        endLapsedRuns(worker, lastLease, out);
+        endLapsedRuns(now, worker, out);
         if (mayStartLate)
             m_pool.raiseRevision(worker);
         if (isSilent && staying == 0)
@@ -652,11 +655,19 @@
         endIncarnation(incarnation, "no heartbeat and no answer", out);
 }
 
-void RunTracker::endLapsedRuns(const PooledWorker &worker, Instant lastLease, Outbox &out)
+bool RunTracker::outlastsLease(Instant now, const PooledWorker &worker, const OpenRun &run)
+{
+    // A third incarnation, which the leader has not heard of, may hold a lease that came with a
+    // late start.
+    return worker.mustStayOpen(run, now - WorkerPool::longestLease())
+            || run.mayStartInNextIncarnation(now);
+}
+
+void RunTracker::endLapsedRuns(Instant now, const PooledWorker &worker, Outbox &out)
 {
     std::vector<JobTaskRef> tasks;
     for (const auto &[task, run] : worker.runs) {
-        if (run.wasSent && !worker.mustStayOpen(run, lastLease))
+        if (run.wasSent && !outlastsLease(now, worker, run))
             tasks.push_back(task);
     }
     for (const JobTaskRef &task : tasks)
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -130,10 +130,12 @@
                        const WorkerAnswer &answer, Outbox &out);
     void endRuns(const WorkerIncarnation &incarnation, RunEnding ending, Outbox &out);
     void endLapsedRuns(Instant now, Outbox &out);
-    /** Ends the runs on a worker with a lapsed lease whose orders may have been sent; the others
-     * have not been ordered yet. Those stay that may begin in a further incarnation, or have begun
-     * there after \a lastLease. */
-    void endLapsedRuns(const PooledWorker &worker, Instant lastLease, Outbox &out);
+    /** Ends the runs on a worker with a lapsed lease whose orders may have been sent, except those
+     * that outlast it; the others have not been ordered yet. */
+    void endLapsedRuns(Instant now, const PooledWorker &worker, Outbox &out);
+    /** True if the run stays open although the worker's lease has lapsed: it may begin in a later
+     * incarnation, or have begun there. */
+    static bool outlastsLease(Instant now, const PooledWorker &worker, const OpenRun &run);
     /** Sends the lease renewal if it is due. */
     void sendDueRenewal(Instant now, PooledWorker &worker, Outbox &out);
     /** True if an acknowledgement waits for starts; begins and ends such a wait. */
--- a/control/jobs/start_copies.h
+++ b/control/jobs/start_copies.h
@@ -25,14 +25,18 @@
     {
         ++m_sent;
         ++m_unsettled;
+        ++m_unanswered;
         m_lastSentAt = now;
     }
     /** Records that a copy was dropped before it was sent. Precondition: it was added. */
     void withdraw()
     {
         --m_sent;
+        recordAnswer();
         settle();
     }
+    /** Records that an incarnation has answered one copy, whichever it is. */
+    void recordAnswer() { m_unanswered -= m_unanswered > 0 ? 1 : 0; }
     /** Records that one copy is settled. */
     void settle() { m_unsettled -= m_unsettled > 0 ? 1 : 0; }
     /** Records that a list of the incarnation contains the run. Of several copies it tells only
@@ -40,7 +44,7 @@
     void settleListed()
     {
         if (m_sent == 1)
-            m_unsettled = 0;
+            m_unsettled = m_unanswered = 0;
     }
     /** Records that others may have been sent, so that no list can settle them. Precondition: one
      * was added. */
@@ -48,18 +52,25 @@
     {
         m_sent = std::max<std::uint32_t>(m_sent, 2);
         m_unsettled = std::max<std::uint32_t>(m_unsettled, 1);
+        m_unanswered = std::max<std::uint32_t>(m_unanswered, 1);
     }
 
     [[nodiscard]] bool areSettled(Instant now) const
     {
         return m_unsettled == 0 || now - m_lastSentAt > MaxAge;
     }
+    /** True if a copy may be in transit: it got no answer. */
+    [[nodiscard]] bool mayArrive(Instant now) const
+    {
+        return m_unanswered > 0 && now - m_lastSentAt <= MaxAge;
+    }
     /** True if a list can settle them. */
     [[nodiscard]] bool canBeListed() const { return m_sent <= 1; }
 
 private:
     std::uint32_t m_sent = 0;
     std::uint32_t m_unsettled = 0;
+    std::uint32_t m_unanswered = 0;
     Instant m_lastSentAt;
 };
 
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -24,6 +24,9 @@
     bool isBestEffort = false;
     /** True if the task runs until it is cancelled. */
     bool isLongRunning = false;
+    /** True if the start carries a ticket, which is valid for one incarnation only, so that the
+     * next one refuses a late copy. */
+    bool needsTicket = false;
     /** True if the lease is not renewed, so that the worker's ends can be acknowledged again. */
     bool shouldLapse = false;
     /** True if the start order is durable and was sent, by this leader or an earlier one. */
@@ -54,6 +57,12 @@
     {
         return !isLongRunning && !startCopies.areSettled(now);
     }
+    /** True if a copy of the start is in transit that the next incarnation would execute. Left out
+     * are long-running tasks, which must be at work again before that is certain. */
+    [[nodiscard]] bool mayStartInNextIncarnation(Instant now) const
+    {
+        return wasSent && !needsTicket && !isLongRunning && startCopies.mayArrive(now);
+    }
 };
 
 /** What proves that an incarnation exists. */
@@ -163,6 +172,13 @@
     {
         return isNameReused && run.wasSent && run.mayDelayAcknowledgement(at);
     }
+    /** True if the next incarnation under the name may execute the start of a run. */
+    [[nodiscard]] bool mayStartRunInNextIncarnation(Instant now) const
+    {
+        return std::any_of(runs.begin(), runs.end(), [now](const auto &entry) {
+            return entry.second.mayStartInNextIncarnation(now);
+        });
+    }
     /** Number of ends that the worker keeps listing until they are acknowledged. */
     [[nodiscard]] std::uint64_t unacknowledgedEndCount() const
     {
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -269,4 +269,15 @@
     processDecisions();
 }
 
+void LeaderBench::grantTickets()
+{
+    constexpr Milliseconds Validity{60'000};
+    for (const AdviceRequest &request : takeAdviceRequests()) {
+        AdviceResponse response{request.id, true, {}, Validity};
+        for (const WorkerId &worker : request.workers)
+            response.good.push_back({worker, "ticket"});
+        receiveAdvice(response);
+    }
+}
+
 } // namespace gentiancross::tests
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -67,6 +67,8 @@
     std::optional<CallWorker> takeLeaseRenewal(const std::string &worker);
     std::vector<AdviceRequest> takeAdviceRequests() { return std::exchange(m_adviceRequests, {}); }
     void receiveAdvice(const AdviceResponse &response);
+    /** Answers all untaken advice requests with a ticket for each worker. */
+    void grantTickets();
 
     /** Takes the measurements since the last call. */
     Measurements takeMeasurements() { return m_out.takeMeasurements(); }
--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -12,6 +12,7 @@
 const std::string job = "00000000000000aa";
 const std::string otherJob = "00000000000000bb";
 const std::string thirdJob = "00000000000000cc";
+constexpr AdviceTerms adviceTerms{1000, 0, Milliseconds(60'000)};
 
 ReportedCompletion ended(std::uint64_t number, const std::string &ofJob, std::uint64_t run,
                          RunEnding ending = RunEnding::Done)
@@ -312,9 +313,11 @@
 TEST_CASE("A worker gets a higher fencing token after a start there has lapsed without an answer")
 {
     LeaderBench bench;
-    bench.configure();
+    bench.configure({}, adviceTerms);
     bench.sendHeartbeat("v");
+    bench.sendHeartbeat("w");
     bench.submit(job, {makeStep(1, 100)});
+    bench.grantTickets();
     const std::vector<CallWorker> starts = bench.takeStarts();
     REQUIRE(starts.size() == 1);
     bench.answer(starts[0], WorkerVerdict::NoAnswer);
@@ -482,9 +485,10 @@
 TEST_CASE("A worker under the name of one that has left is polled before it gets runs")
 {
     LeaderBench bench;
-    bench.configure();
+    bench.configure({}, adviceTerms);
     bench.sendHeartbeat("v");
     bench.submit(job, {makeStep(1, 100)});
+    bench.grantTickets();
     const CallWorker late = bench.takeStarts().at(0);
     bench.answer(late, WorkerVerdict::NoAnswer);
     bench.sendHeartbeat("v", 1, true);
@@ -549,6 +553,69 @@
     CHECK(starts.size() == 1);
 }
 
+// Guards against two runs at a time: the worker had crashed with the start in transit, and its next
+// incarnation executed it before it was polled, beside the task's next run elsewhere.
+TEST_CASE("A task without a ticket starts elsewhere only when its start can't arrive any more")
+{
+    constexpr std::int64_t LongestTransit = 12'000;
+    constexpr std::int64_t LatestStart = 16'000;
+    constexpr std::int64_t Step = 100;
+    LeaderBench bench;
+    bench.configure();
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoAnswer);
+    const Instant sentAt = bench.now();
+    const bool hasLeft = GENERATE(false, true);
+    if (hasLeft) {
+        bench.sendHeartbeat("v", 1, true);
+        bench.call(WorkerLeave{WorkerId("v")});
+    }
+    std::vector<CallWorker> starts;
+    while (starts.empty() && (bench.now() - sentAt).value() < LatestStart) {
+        bench.advance(Step);
+        bench.sendHeartbeat("w");
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answer(*renewal, WorkerVerdict::NoAnswer);
+        for (const CallWorker &stop : bench.takeStops())
+            bench.answer(stop, WorkerVerdict::NoAnswer);
+        starts = bench.takeStarts();
+        CHECK((starts.empty() || (bench.now() - sentAt).value() > LongestTransit));
+    }
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].incarnation.worker == WorkerId("w"));
+}
+
+// Guards against tasks that wait although the platform refuses the late start: a ticket is valid
+// for one incarnation.
+TEST_CASE("A task with a ticket starts elsewhere once its worker's lease has lapsed")
+{
+    LeaderBench bench;
+    bench.configure({}, adviceTerms);
+    bench.sendHeartbeat("v");
+    bench.submit(job, {makeStep(1, 100)});
+    bench.grantTickets();
+    bench.answer(bench.takeStarts().at(0), WorkerVerdict::NoAnswer);
+    bench.sendHeartbeat("w");
+    constexpr std::int64_t LeaseAndMargin = 4000;
+    const Instant sentAt = bench.now();
+    std::vector<CallWorker> starts;
+    while (starts.empty() && (bench.now() - sentAt).value() < LeaseAndMargin) {
+        bench.advance(100);
+        bench.sendHeartbeat("w");
+        bench.grantTickets();
+        while (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
+            bench.answer(*renewal, WorkerVerdict::NoAnswer);
+        for (const CallWorker &start : bench.takeStarts()) {
+            if (start.incarnation.worker == WorkerId("w"))
+                starts.push_back(start);
+            else
+                bench.answer(start, WorkerVerdict::NoAnswer);
+        }
+    }
+    CHECK(starts.size() == 1);
+}
+
 // Guards against a task that starts again although its worker lists its end, since that end stands
 // behind one that must wait.
 TEST_CASE("An end that stands behind a waiting one is no lost run")
