Acknowledge late ends once the worker's lease has lapsed after them

Cause: an end that was listed after a later run had been ordered must not be acknowledged, nor any end behind it. That state was left only by a `lapsed` end in a list, and none came: nothing ran when the lease ended, and the service kept the worker busy afterwards.

The rule says that an end does not count if the worker's lease lapsed in between. A list whose clock is past the last grant shows that, so its ends are acknowledged. An idle worker is asked for such a list. A worker that long-running tasks keep busy is not renewed for one lease from 400 ends on, one worker at a time and within the disruption budgets.

--- a/control/jobs/run_end_recorder.cpp
+++ b/control/jobs/run_end_recorder.cpp
@@ -29,6 +29,10 @@
                                 const std::vector<ReportedCompletion> &ended, Outbox &out)
 {
     const WorkerIncarnation incarnation = worker.report.incarnation;
+    // Without a lease nothing has run since, so all ends in the list come before the lapse.
+    const bool hasLeaseLapsed = m_pool.isLapsed(worker, now);
+    if (hasLeaseLapsed && worker.hasUnacknowledgeableEnd)
+        releaseLapsedEnds(worker, out);
     std::vector<ReportedCompletion> ordered = ended;
     std::sort(ordered.begin(), ordered.end(),
               [](const auto &first, const auto &second) { return first.number < second.number; });
@@ -48,7 +52,7 @@
         } else if (end.ending == RunEnding::Failed) {
             recordFailure(now, worker, end.task.step.job, out);
         }
-        updateAcknowledgeable(worker, end, out);
+        updateAcknowledgeable(worker, end, hasLeaseLapsed, out);
         m_results.onRunBegun(end.task);
         m_results.apply(RunEnded{end.task, end.run, end.ending, end.checkpoint});
         if (!worker.hasUnacknowledgeableEnd) {
@@ -58,6 +62,18 @@
     }
 }
 
+void RunEndRecorder::releaseLapsedEnds(PooledWorker &worker, Outbox &out)
+{
+    const WorkerIncarnation &incarnation = worker.report.incarnation;
+    worker.hasUnacknowledgeableEnd = false;
+    worker.acknowledgeableEnd = worker.recordedEnd;
+    m_results.acknowledgeEnds(incarnation, worker.recordedEnd);
+    out.count(CellEvent::LateEndReleased);
+    out.note(incarnation.worker.value(),
+             absl::StrCat("late ends acknowledged, since the lease has lapsed after them: end=",
+                          worker.recordedEnd.value()));
+}
+
 bool RunEndRecorder::mustWait(PooledWorker &worker, const ReportedCompletion &end, Instant askedAt)
 {
     const auto found = worker.runs.find(end.task);
@@ -68,7 +84,7 @@
 }
 
 void RunEndRecorder::updateAcknowledgeable(PooledWorker &worker, const ReportedCompletion &end,
-                                           Outbox &out)
+                                           bool hasLeaseLapsed, Outbox &out)
 {
     // All runs were killed at the lapse, after the ends listed before it, so none of those ends was
     // in time.
@@ -77,6 +93,14 @@
     const bool counts = end.ending == RunEnding::Done || end.ending == RunEnding::Failed;
     if (!counts || worker.hasUnacknowledgeableEnd || !mustStayListed(end))
         return;
+    if (hasLeaseLapsed) {
+        out.count(CellEvent::LateEndReleased);
+        out.note(end.task.step.job.value(),
+                 absl::StrCat("late end acknowledged, since the lease has lapsed after it: task=",
+                              nameOf(end.task), " run=", end.run.value(),
+                              " worker=", worker.report.incarnation.worker.value()));
+        return;
+    }
     worker.hasUnacknowledgeableEnd = true;
     worker.unacknowledgeableEndJob = end.task.step.job;
     out.count(CellEvent::EndAfterLaterRun);
--- a/control/jobs/run_end_recorder.h
+++ b/control/jobs/run_end_recorder.h
@@ -20,17 +20,22 @@
     RunEndRecorder(const JobStoreData &store, WorkerPool &pool, RunResultHandler &results);
 
     /** Records the ends in \a ended that are new, in the order of their numbers, up to the first
-     * of a run that must stay open. The list was asked for at \a askedAt. */
+     * of a run that must stay open. The list was asked for at \a askedAt. Precondition: the
+     * worker's clock was set from the same answer. */
     void recordEnds(Instant now, Instant askedAt, PooledWorker &worker,
                     const std::vector<ReportedCompletion> &ended, Outbox &out);
 
 private:
     /** True if the end must wait, since a copy of the run's start may still be under way. */
     static bool mustWait(PooledWorker &worker, const ReportedCompletion &end, Instant askedAt);
+    /** Acknowledges the recorded ends, all of which a lapse of the lease has followed: they don't
+     * count, whenever they are acknowledged (the platform's rules, "Jobs", TWICE). */
+    void releaseLapsedEnds(PooledWorker &worker, Outbox &out);
     /** Decides whether ends up to \a end may be acknowledged. One that was listed only after a
-     * later run was ordered must not be: the later run would be a start after an end that counts.
-     */
-    void updateAcknowledgeable(PooledWorker &worker, const ReportedCompletion &end, Outbox &out);
+     * later run was ordered must not be, unless the lease has lapsed after it: the later run would
+     * be a start after an end that counts. */
+    void updateAcknowledgeable(PooledWorker &worker, const ReportedCompletion &end,
+                               bool hasLeaseLapsed, Outbox &out);
     /** True if a start of the task would break the rules once \a end is acknowledged. */
     [[nodiscard]] bool mustStayListed(const ReportedCompletion &end);
     static void recordFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -612,6 +612,7 @@
 void RunTracker::tick(Instant now, Outbox &out)
 {
     endLapsedRuns(now, out);
+    updateWithheldLeases(out);
     for (auto &[incarnation, worker] : m_pool.all())
         sendDueOrders(now, worker, out);
 }
@@ -674,6 +675,51 @@
         endRun(worker.report.incarnation, task, RunEnding::Lapsed, out);
 }
 
+void RunTracker::updateWithheldLeases(Outbox &out)
+{
+    PooledWorker *next = nullptr;
+    bool isAnyWithheld = false;
+    for (auto &[incarnation, worker] : m_pool.all()) {
+        if (worker.isLeaseWithheld && !worker.hasUnacknowledgeableEnd) {
+            worker.isLeaseWithheld = false;
+            out.note(incarnation.worker.value(),
+                     "lease is granted again: its ends are acknowledged");
+            m_results.onWorkerUsable();
+        }
+        isAnyWithheld = isAnyWithheld || worker.isLeaseWithheld;
+        if (next == nullptr && WorkerPool::mustWithholdLease(worker) && isDisruptionAllowed(worker))
+            next = &worker;
+    }
+    if (isAnyWithheld || next == nullptr)
+        return;
+    next->isLeaseWithheld = true;
+    out.count(CellEvent::LeaseWithheld);
+    out.add(LogLine{true, next->report.incarnation.worker.value(),
+                    absl::StrCat("lease is left to lapse: ends can't be acknowledged: count=",
+                                 next->unacknowledgedEndCount(), " runs=", next->runs.size())});
+}
+
+bool RunTracker::isDisruptionAllowed(const PooledWorker &worker)
+{
+    std::map<StepRef, std::uint32_t> away;
+    for (const auto &[task, run] : worker.runs)
+        ++away[task.step];
+    for (auto &[step, count] : away) {
+        const Job &job = m_store.jobs.at(step.job);
+        const std::uint32_t budget = job.spec.steps[step.step].disruptionBudget;
+        if (budget == 0)
+            continue; // The step has none.
+        for (const TaskProgress &task : job.occurrences.at(step.occurrence).steps[step.step]) {
+            const PooledWorker *const host = task.mayStillRun ? m_pool.find(task.worker) : nullptr;
+            if (host != &worker && (host == nullptr || host->isOnlyPolled()))
+                ++count;
+        }
+        if (count > budget)
+            return false;
+    }
+    return true;
+}
+
 bool RunTracker::isWanted(const JobTaskRef &task) const
 {
     const auto job = m_store.jobs.find(task.step.job);
@@ -750,7 +796,8 @@
         return;
     // A worker that did not answer is polled until it does; otherwise it would not be used again.
     if (!worker.runs.empty() || !worker.clock.has_value() || worker.isOnlyPolled()
-        || worker.hasUnexpectedRun || worker.isAcknowledgementOverdue)
+        || worker.hasUnexpectedRun || worker.isAcknowledgementOverdue
+        || (worker.hasUnacknowledgeableEnd && m_pool.isLapsed(worker, now)))
         renewLease(now, worker, out);
 }
 
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -128,6 +128,12 @@
                              Milliseconds age, Outbox &out);
     void reconcileRuns(Instant now, PooledWorker &worker, const Call &call,
                        const WorkerAnswer &answer, Outbox &out);
+    /** Leaves the lease of one worker at a time to lapse if it can be used again in no other way.
+     */
+    void updateWithheldLeases(Outbox &out);
+    /** True if no step would lose more tasks than its disruption budget allows, if the long-running
+     * tasks on the worker ended. */
+    [[nodiscard]] bool isDisruptionAllowed(const PooledWorker &worker);
     void endRuns(const WorkerIncarnation &incarnation, RunEnding ending, Outbox &out);
     void endLapsedRuns(Instant now, Outbox &out);
     /** Ends the runs on a worker with a lapsed lease whose orders may have been sent, except those
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -229,13 +229,24 @@
 bool WorkerPool::mayRenew(const PooledWorker &worker)
 {
     // Otherwise the lease of a worker that does not answer would never end.
-    if (worker.isOnlyPolled())
+    if (worker.isOnlyPolled() || worker.isLeaseWithheld)
+        return false;
+    // An idle worker is asked for its list to see that its lease has lapsed.
+    if (worker.hasUnacknowledgeableEnd && worker.runs.empty())
         return false;
     return !needsLeaseLapse(worker)
             || std::any_of(worker.runs.begin(), worker.runs.end(),
                            [](const auto &entry) { return !entry.second.shouldLapse; });
 }
 
+bool WorkerPool::mustWithholdLease(const PooledWorker &worker)
+{
+    return worker.hasUnacknowledgeableEnd && !worker.isOnlyPolled() && !worker.runs.empty()
+            && worker.unacknowledgedEndCount() >= MaxUnacknowledgedEnds
+            && std::all_of(worker.runs.begin(), worker.runs.end(),
+                           [](const auto &entry) { return entry.second.isLongRunning; });
+}
+
 bool WorkerPool::shouldLapse(const PooledWorker &worker, const StepSpec &step)
 {
     return needsLeaseLapse(worker) && worker.runs.empty() && !step.isLongRunning && !step.isGang;
@@ -249,6 +260,8 @@
 
 bool WorkerPool::canAcceptRun(const PooledWorker &worker, const StepSpec &step)
 {
+    if (worker.isLeaseWithheld)
+        return false;
     if (!needsLeaseLapse(worker))
         return true;
     const bool hasLongRunning
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -121,11 +121,13 @@
      * it was sent. */
     bool isAcknowledgementOverdue = false;
     /** True if the worker has listed an end after `acknowledgeableEnd` that it must not forget.
-     * Cleared when a lease lapses while something runs. */
+     * Cleared once its lease has certainly lapsed after that end. */
     bool hasUnacknowledgeableEnd = false;
     /** Job of that end; the job is kept so that a successor knows why the end must not be
      * acknowledged. */
     JobId unacknowledgeableEndJob;
+    /** True while its lease is left to lapse for that, although long-running tasks run there. */
+    bool isLeaseWithheld = false;
     bool isLeaseRenewalInFlight = false;
     Instant nextLeaseRenewal;
     /** True from an unanswered call until the next answer. */
@@ -251,6 +253,9 @@
                                              Milliseconds length = LeaseLength);
     /** False if the worker's lease must run out. */
     [[nodiscard]] static bool mayRenew(const PooledWorker &worker);
+    /** True if nothing but a lapse of its lease, and so of the long-running tasks there, lets the
+     * worker be used again. */
+    [[nodiscard]] static bool mustWithholdLease(const PooledWorker &worker);
     /** True if the lease of a new run of the step is to lapse: the list of ends that cannot be
      * acknowledged is long, and no other run would be lost. */
     [[nodiscard]] static bool shouldLapse(const PooledWorker &worker, const StepSpec &step);
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -79,6 +79,11 @@
     AcknowledgementOverdue,
     /** A worker refused an acknowledgement, since a later start has reached it first. */
     AcknowledgementFenced,
+    /** A completion that came after a later run can be acknowledged, since the worker's lease has
+     * lapsed in between. */
+    LateEndReleased,
+    /** The lease of a worker with long-running tasks was left to lapse for that. */
+    LeaseWithheld,
 };
 
 /** Time spans that are measured. */
--- a/tests/control/jobs/cell_leader_test.cpp
+++ b/tests/control/jobs/cell_leader_test.cpp
@@ -421,13 +421,24 @@
     bench.submit(jobA, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.advance(200);
+    const std::int64_t listedAt = bench.now().value();
     const std::vector<CallWorker> elsewhere = bench.startElsewhere("v", "w");
     REQUIRE(elsewhere.size() == 1);
     bench.answer(elsewhere[0], WorkerVerdict::Done);
     bench.advance(1000);
-    bench.answerLeaseRenewal("v", {}, {ended(4, jobA, 0, 1, ending)});
-    occupy(bench, "v");
-    CHECK(acknowledgedEndOf(bench, "v") < CompletionNumber(4));
+    SECTION("the list was made before the lease ended")
+    {
+        bench.answerLeaseRenewal("v", {}, {ended(4, jobA, 0, 1, ending)}, listedAt);
+        occupy(bench, "v");
+        CHECK(acknowledgedEndOf(bench, "v") < CompletionNumber(4));
+    }
+    // Guards against a worker that gets no more starts once its list of ends is long.
+    SECTION("the list shows that the lease has lapsed, although nothing ran then")
+    {
+        bench.answerLeaseRenewal("v", {}, {ended(4, jobA, 0, 1, ending)});
+        occupy(bench, "v");
+        CHECK(acknowledgedEndOf(bench, "v") == CompletionNumber(4));
+    }
 }
 
 TEST_CASE("A late end is acknowledged if the worker's list shows that its lease lapsed after it")
@@ -664,12 +675,13 @@
     first.submit(jobA, {makeStep(1, 100)});
     first.answer(first.takeStarts().at(0), WorkerVerdict::Done);
     first.advance(200);
+    const std::int64_t listedAt = first.now().value();
     const std::vector<CallWorker> elsewhere = first.startElsewhere("v", "w");
     REQUIRE(elsewhere.size() == 1);
     first.answer(elsewhere[0], WorkerVerdict::Done);
     first.advance(1000);
     const ReportedCompletion late = ended(4, jobA, 0, 1, RunEnding::Done);
-    first.answerLeaseRenewal("v", {}, {late});
+    first.answerLeaseRenewal("v", {}, {late}, listedAt);
     first.answerLeaseRenewal("w", {}, {ended(1, jobA, 0, 2, RunEnding::Done)});
     REQUIRE(stateOf(first.queryJob(jobA)) == JobState::Completed);
     for (std::int64_t passed = 0; passed < DefaultJobRetentionMilliseconds + 2000; passed += 1000) {
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -193,22 +193,24 @@
 }
 
 void LeaderBench::answerLeaseRenewal(const std::string &worker, std::vector<ReportedRun> running,
-                                     std::vector<ReportedCompletion> ended)
+                                     std::vector<ReportedCompletion> ended,
+                                     std::optional<std::int64_t> clock)
 {
     advance(TickMs * 4);
     const std::optional<CallWorker> renewal = takeLeaseRenewal(worker);
     if (!renewal.has_value())
         return;
-    answerWithRuns(*renewal, std::move(running), std::move(ended));
+    answerWithRuns(*renewal, std::move(running), std::move(ended), clock);
 }
 
 void LeaderBench::answerWithRuns(const CallWorker &renewal, std::vector<ReportedRun> running,
-                                 std::vector<ReportedCompletion> ended)
+                                 std::vector<ReportedCompletion> ended,
+                                 std::optional<std::int64_t> clock)
 {
     WorkerAnswer answer;
     answer.call = renewal.call;
     answer.verdict = WorkerVerdict::Done;
-    answer.clock = m_now.value();
+    answer.clock = clock.value_or(m_now.value());
     answer.born = renewal.incarnation.born;
     answer.running = std::move(running);
     answer.ended = std::move(ended);
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -40,13 +40,16 @@
     /** Answers as the incarnation born at \a born; 0 if the answer does not name one. */
     void answer(const CallWorker &order, WorkerVerdict verdict, std::int64_t born = 0);
     void answer(const WorkerAnswer &answer);
-    /** Answers the oldest untaken lease renewal of the worker with its lists of runs. */
+    /** Answers the oldest untaken lease renewal of the worker with its lists of runs, which it made
+     * when its clock showed \a clock, now if empty. */
     void answerLeaseRenewal(const std::string &worker, std::vector<ReportedRun> running,
-                            std::vector<ReportedCompletion> ended = {});
+                            std::vector<ReportedCompletion> ended = {},
+                            std::optional<std::int64_t> clock = {});
     /** Answers this lease renewal with the lists of runs, which state the birth of the incarnation
      * that was asked. */
     void answerWithRuns(const CallWorker &renewal, std::vector<ReportedRun> running,
-                        std::vector<ReportedCompletion> ended);
+                        std::vector<ReportedCompletion> ended,
+                        std::optional<std::int64_t> clock = {});
     /** Answers the untaken lease renewal of this incarnation, which must exist, as that
      * incarnation. */
     void confirm(const std::string &worker, std::int64_t born,
--- a/tests/control/jobs/leader_overload_test.cpp
+++ b/tests/control/jobs/leader_overload_test.cpp
@@ -81,6 +81,7 @@
     bench.sendHeartbeat("v");
     bench.submit(job, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
+    const std::int64_t listedAt = bench.now().value();
     std::vector<CallWorker> elsewhere;
     for (int step = 0; elsewhere.empty() && step < 120; ++step) {
         bench.advance(100);
@@ -94,8 +95,8 @@
     REQUIRE(elsewhere.size() == 1);
     REQUIRE(elsewhere[0].incarnation.worker.value() == "w");
     bench.answer(elsewhere[0], WorkerVerdict::Done);
-    bench.answerLeaseRenewal("v", {},
-                             {{End, makeTask(job, 0, 0), RunNumber(1), RunEnding::Done, {}}});
+    bench.answerLeaseRenewal(
+            "v", {}, {{End, makeTask(job, 0, 0), RunNumber(1), RunEnding::Done, {}}}, listedAt);
     // Every worker has a run, so that the leader renews its lease and asks for its runs.
     bench.sendHeartbeat("v");
     bench.submit("00000000000000bb", {makeStep(17, 100)});
--- a/tests/control/jobs/model_worker.cpp
+++ b/tests/control/jobs/model_worker.cpp
@@ -53,6 +53,7 @@
 void ModelWorker::lapseLease()
 {
     // Earlier completions belong to a previous lease.
+    m_lapsedLease = m_leaseUntil;
     ++m_lapses;
     while (!m_running.empty())
         end(m_running.begin()->first, RunEnding::Lapsed);
@@ -60,9 +61,10 @@
 
 void ModelWorker::advance(Instant now)
 {
-    // Leases expire while the worker is frozen too.
+    // Leases expire while the worker is frozen or idle too.
+    const bool isLeaseOver = leaseEnd() <= now && m_lapsedLease < m_leaseUntil;
     if (isFrozen(now)) {
-        if (leaseEnd() <= now && !m_running.empty())
+        if (isLeaseOver)
             lapseLease();
         return;
     }
@@ -78,6 +80,8 @@
         else
             end(next->first, next->second.ending);
     }
+    if (isLeaseOver && m_lapsedLease < m_leaseUntil)
+        lapseLease();
 }
 
 void ModelWorker::freeze(Instant now, Instant until)
--- a/tests/control/jobs/model_worker.h
+++ b/tests/control/jobs/model_worker.h
@@ -68,6 +68,8 @@
     Instant m_frozenUntil;
     FencingToken m_fence;
     std::int64_t m_leaseUntil = 0;
+    /** The end of the lease that lapsed last. */
+    std::int64_t m_lapsedLease = 0;
     std::uint64_t m_lapses = 0;
     std::uint64_t m_sequence = 0;
     CompletionNumber m_lastCompletion;
--- a/tests/control/jobs/run_metrics_test.cpp
+++ b/tests/control/jobs/run_metrics_test.cpp
@@ -152,10 +152,11 @@
 {
     LeaderBench bench;
     runOnV(bench);
+    const std::int64_t listedAt = bench.now().value();
     giveUpOnV(bench, WorkerVerdict::NoAnswer, false);
     bench.takeMeasurements();
     bench.advance(1000);
-    bench.answerLeaseRenewal("v", {}, {ended(1, jobA, 0, RunEnding::Done)});
+    bench.answerLeaseRenewal("v", {}, {ended(1, jobA, 0, RunEnding::Done)}, listedAt);
     Measurements measured = bench.takeMeasurements();
     CHECK(causesOf(measured) == Causes{.endsNotAcknowledged = true});
     CHECK(count(measured, CellEvent::EndHeldBack) == 0);
--- a/tests/control/jobs/run_tracker_test.cpp
+++ b/tests/control/jobs/run_tracker_test.cpp
@@ -21,8 +21,8 @@
     return {CompletionNumber(number), makeTask(job, 0, 0), RunNumber(run), ending, {}};
 }
 
-/** Makes "v" list an end, its first, which must not be acknowledged: the task has meanwhile been
- * started again on "w". Only "v" accepts runs afterwards. */
+/** Makes "v" list an end, its first, which must not be acknowledged: the list was in transit when
+ * the task was started again on "w". Only "v" accepts runs afterwards. */
 void listLateEnd(LeaderBench &bench)
 {
     bench.configure();
@@ -31,13 +31,20 @@
     bench.submit(late, {makeStep(1, 100)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.advance(200);
+    const std::int64_t listedAt = bench.now().value();
     const std::vector<CallWorker> elsewhere = bench.startElsewhere("v", "w");
     REQUIRE(elsewhere.size() == 1);
     bench.answer(elsewhere[0], WorkerVerdict::Done);
     bench.advance(1000);
-    bench.answerLeaseRenewal("v", {}, {ended(1, late, 1, RunEnding::Done)});
+    bench.answerLeaseRenewal("v", {}, {ended(1, late, 1, RunEnding::Done)}, listedAt);
     bench.sendHeartbeat("w", 1, true);
     bench.sendHeartbeat("v");
+    // The late list has set back the clock that the leader reckons with; a refusal corrects it.
+    const std::string refused = nameOf(9999);
+    bench.submit(refused, {makeStep(1, 100)});
+    const CallWorker start = bench.takeStarts().at(0);
+    bench.queryJob(refused, JobVerb::Cancel);
+    bench.answer(start, WorkerVerdict::Late);
 }
 
 /** A worker "v" that runs one task at a time, for a second each, and lists its ends. */
@@ -69,15 +76,34 @@
         return true;
     }
 
+    /** Executes the start of a long-running task until its lease ends. */
+    void keepRunning(const std::string &job, const CallWorker &start)
+    {
+        m_bench.answer(start, WorkerVerdict::Done);
+        m_lasting = ReportedRun{makeTask(job, 0, 0), RunNumber(1), {}, 100, 0};
+        m_leaseUntil = start.leaseUntil;
+    }
+
     [[nodiscard]] CompletionNumber acknowledged() const { return m_acknowledged; }
 
-private:
+    /** Answers the next renewal. */
     void list()
     {
         constexpr std::size_t MostListed = 500;
         m_bench.advance(400);
         const std::optional<CallWorker> renewal = m_bench.takeLeaseRenewal("v");
+        if (m_lasting.has_value() && !renewal.has_value())
+            return;
         REQUIRE(renewal.has_value());
+        m_leaseUntil = std::max(m_leaseUntil, renewal->leaseUntil);
+        if (m_lasting.has_value() && m_bench.now().value() > m_leaseUntil) {
+            m_ends.push_back({CompletionNumber(m_ends.size() + 2),
+                              m_lasting->task,
+                              m_lasting->run,
+                              RunEnding::Lapsed,
+                              {}});
+            m_lasting.reset();
+        }
         m_acknowledged = std::get<OrderLeaseRenewal>(renewal->order).durableUpTo;
         std::vector<ReportedCompletion> listed;
         if (m_acknowledged == CompletionNumber(0))
@@ -91,11 +117,16 @@
         answer.verdict = WorkerVerdict::Done;
         answer.clock = m_bench.now().value();
         answer.ended = std::move(listed);
+        if (m_lasting.has_value())
+            answer.running = {*m_lasting};
         m_bench.answer(answer);
     }
 
+private:
     LeaderBench &m_bench;
     std::vector<ReportedCompletion> m_ends;
+    std::optional<ReportedRun> m_lasting;
+    std::int64_t m_leaseUntil = 0;
     CompletionNumber m_acknowledged;
 };
 
@@ -169,6 +200,38 @@
     CHECK(bench.takeStarts().size() == 1);
 }
 
+// Guards against a worker that gets no more runs for good: a long-running task there never ends, so
+// its lease never lapsed.
+TEST_CASE(
+        "A worker with a long-running task and 400 unacknowledged ends is used again after a lapse")
+{
+    constexpr std::uint64_t LongestList = 400;
+    LeaderBench bench;
+    listLateEnd(bench);
+    StepSpec longRunning = makeStep(1, 100);
+    longRunning.isLongRunning = true;
+    const std::string lasting = nameOf(5000);
+    bench.submit(lasting, {longRunning});
+    OneByOne worker(bench);
+    worker.keepRunning(lasting, bench.takeStarts().at(0));
+    std::uint64_t job = 1;
+    for (bool isUsed = true; isUsed && job <= LongestList; ++job) {
+        bench.submit(nameOf(job), {makeStep(1, 100)});
+        isUsed = worker.runOne();
+    }
+    REQUIRE(job > LongestList - 2);
+    // The lease is 3 s; the task starts again, and what waits is started.
+    constexpr std::int64_t LeaseAndMargin = 5000;
+    std::vector<CallWorker> starts;
+    for (std::int64_t passed = 0; passed < LeaseAndMargin; passed += 400) {
+        worker.list();
+        bench.sendHeartbeat("v");
+        for (const CallWorker &start : bench.takeStarts())
+            starts.push_back(start);
+    }
+    CHECK(starts.size() == 2);
+}
+
 // Guards against ends that are withheld because of a start that is never sent.
 TEST_CASE("An end listed before the task's next start is sent is acknowledged, and nothing starts")
 {
@@ -246,13 +309,14 @@
     bench.submit(late, {makeStep(1, 1000)});
     bench.answer(bench.takeStarts().at(0), WorkerVerdict::Done);
     bench.advance(200);
+    const std::int64_t listedAt = bench.now().value();
     for (int step = 0; step < 60; ++step) {
         bench.advance(100);
         if (const std::optional<CallWorker> renewal = bench.takeLeaseRenewal("v"))
             bench.answer(*renewal, WorkerVerdict::NoAnswer);
     }
     bench.advance(1000);
-    bench.answerLeaseRenewal("v", {}, {ended(1, late, 1, RunEnding::Failed)});
+    bench.answerLeaseRenewal("v", {}, {ended(1, late, 1, RunEnding::Failed)}, listedAt);
     bench.sendHeartbeat("v");
     bench.advance(100);
     const std::vector<CallWorker> starts = bench.takeStarts();
