Claim only room that becomes free by itself, and for a bounded time

Cause: AdviceLookahead let each step claim capacity of the workers that could run it when idle. The large tasks claimed the free cores of every worker, although no whole task fits there while the long-running tasks last, so that no step behind was asked advice for. What waits within a team used up its cap in the same way.

A step now claims nothing on workers that can't hold its tasks beside the long-running ones, nor of a cap that can't.

--- a/control/jobs/advice_lookahead.cpp
+++ b/control/jobs/advice_lookahead.cpp
@@ -42,15 +42,23 @@
     return room;
 }
 
-/** True if tasks of the step could run on the worker if it were idle and, as far as is known, the
- * adviser allows it. */
+/** True if tasks of the step could run on the worker beside the long-running tasks there and, as
+ * far as is known, the adviser allows it. */
 bool isEligible(const PooledWorker &worker, const Job &job, const StepSpec &step,
                 const Advice &advice)
 {
     return couldRunWhenIdle(worker, job.terms.pool, step)
+            && step.reserved().fitsIn(worker.capacityBesideLongRunning())
             && !advice.isUnsuitable(worker.report.incarnation.worker);
 }
 
+/** The number of tasks that fit in \a left and in what the worker has free. */
+std::uint64_t wholeTasksNow(const PooledWorker &worker, const Resources &left,
+                            const Resources &task)
+{
+    return std::min(wholeTasksIn(left, task), wholeTasksIn(worker.freeCapacity(), task));
+}
+
 bool hasCores(const Resources &room)
 {
     return room.cores > MilliCores(0);
@@ -73,7 +81,7 @@
 }
 
 bool AdviceLookahead::claim(const Job &job, const StepSpec &step, const Advice &advice,
-                            std::uint64_t tasks)
+                            std::uint64_t tasks, bool mayHold)
 {
     if (!canHold(job, step, advice, step.isGang ? step.count : 1))
         return false;
@@ -81,15 +89,20 @@
     Resources &waiting = m_waiting[job.terms.team];
     Resources used = m_usage.running(job.terms.team);
     used += waiting;
-    waiting += multiply(step.perTask, static_cast<std::int64_t>(tasks));
+    const Resources wanted = multiply(step.perTask, static_cast<std::int64_t>(tasks));
     const std::uint64_t withinCap
             = std::min(tasks, wholeTasksIn(roomWithin(cap, used), step.perTask));
     const Resources capAhead = multiply(cap, Percent + AheadPercent, Percent);
     const bool mayStartSoon = milliTasksIn(roomWithin(capAhead, used), step.perTask) > 0;
     const std::uint64_t startable = step.isGang && withinCap < tasks ? 0 : withinCap;
-    if (startable == 0)
+    if (startable == 0) {
+        if (mayHold)
+            waiting += wanted;
         return mayStartSoon && !m_rooms.empty();
-    const std::uint64_t claimed = claimRooms(job, step, advice, startable * Milli);
+    }
+    const std::uint64_t claimed = claimRooms(job, step, advice, startable * Milli, mayHold);
+    if (claimed > 0)
+        waiting += wanted;
     m_claimedMilliTasks += claimed;
     return claimed > 0;
 }
@@ -102,20 +115,26 @@
 bool AdviceLookahead::canHold(const Job &job, const StepSpec &step, const Advice &advice,
                               std::uint64_t tasks) const
 {
+    const Resources capLeft
+            = roomWithin(m_usage.cap(job.terms.team), m_usage.longRunning(job.terms.team));
+    if (wholeTasksIn(capLeft, step.perTask) < tasks)
+        return false;
     std::uint64_t held = 0;
     for (const PooledWorker *const worker : m_workers) {
         if (held >= tasks)
             break;
         if (!isEligible(*worker, job, step, advice))
             continue;
-        const std::uint64_t here = wholeTasksIn(worker->report.capacity, step.reserved());
+        const std::uint64_t here
+                = wholeTasksIn(worker->capacityBesideLongRunning(), step.reserved());
         held += step.maxPerWorker > 0 ? std::min<std::uint64_t>(here, step.maxPerWorker) : here;
     }
     return held >= tasks;
 }
 
 std::uint64_t AdviceLookahead::claimRooms(const Job &job, const StepSpec &step,
-                                          const Advice &advice, std::uint64_t milliTasks)
+                                          const Advice &advice, std::uint64_t milliTasks,
+                                          bool mayHold)
 {
     const Resources task = step.reserved();
     const std::uint64_t mostPerWorker = step.maxPerWorker * Milli;
@@ -123,7 +142,10 @@
     for (std::size_t index = 0; index < m_rooms.size() && claimed < milliTasks;) {
         Room &room = m_rooms[index];
         if (isEligible(*room.worker, job, step, advice)) {
-            std::uint64_t here = std::min(milliTasks - claimed, milliTasksIn(room.left, task));
+            const std::uint64_t most = mayHold
+                    ? milliTasksIn(room.left, task)
+                    : Milli * wholeTasksNow(*room.worker, room.left, task);
+            std::uint64_t here = std::min(milliTasks - claimed, most);
             if (step.maxPerWorker > 0)
                 here = std::min(here, mostPerWorker);
             room.left -= multiply(task, static_cast<std::int64_t>(here), Milli);
--- a/control/jobs/advice_lookahead.h
+++ b/control/jobs/advice_lookahead.h
@@ -13,9 +13,9 @@
 /**
  * Limits how far ahead of the free capacity steps request advice during one plan, since tickets
  * expire. Steps claim, in the order of their ranks, the capacity of the workers that could run
- * them. Tasks that can't use it, for instance those of a team at its cap, claim nothing, so that
- * steps behind them can. Created by `StartPlanner` for each plan. Thread safety: owned by the
- * control thread.
+ * them. Tasks that can't use it, for instance those of a team at its cap or those that fit on no
+ * worker beside the long-running tasks there, claim nothing, so that steps behind them can. Created
+ * by `StartPlanner` for each plan. Thread safety: owned by the control thread.
  */
 class AdviceLookahead
 {
@@ -25,8 +25,10 @@
     AdviceLookahead(Instant now, const TeamUsage &usage, WorkerPool &pool);
 
     /** Claims capacity for \a tasks of a step of \a job that wait. Returns true if the step is to
-     * request advice: some of the tasks may start soon. \a advice is what is known of the step. */
-    bool claim(const Job &job, const StepSpec &step, const Advice &advice, std::uint64_t tasks);
+     * request advice: some of the tasks may start soon. \a advice is what is known of the step.
+     * Without \a mayHold it claims only free capacity that its tasks fit in now. */
+    bool claim(const Job &job, const StepSpec &step, const Advice &advice, std::uint64_t tasks,
+               bool mayHold);
 
     /** Number of tasks for which capacity has been claimed. */
     [[nodiscard]] std::uint64_t claimedTasks() const;
@@ -41,12 +43,13 @@
         Resources left;
     };
 
-    /** True if the workers could run at least \a tasks of the step at once if they were idle. */
+    /** True if the workers could run at least \a tasks of the step at once, and the team's cap
+     * allows it, once all runs have ended that end by themselves. */
     [[nodiscard]] bool canHold(const Job &job, const StepSpec &step, const Advice &advice,
                                std::uint64_t tasks) const;
     /** Returns the claimed part of \a milliTasks. */
     std::uint64_t claimRooms(const Job &job, const StepSpec &step, const Advice &advice,
-                             std::uint64_t milliTasks);
+                             std::uint64_t milliTasks, bool mayHold);
 
     const TeamUsage &m_usage;
     std::vector<const PooledWorker *> m_workers;
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -36,7 +36,8 @@
 void StartPlanner::runOpened(const JobTaskRef &task, const Job &job,
                              const WorkerIncarnation &worker)
 {
-    m_usage.add(job.terms.team, job.spec.steps[task.step.step].perTask);
+    m_usage.add(job.terms.team, job.spec.steps[task.step.step]);
+    m_holds.end(task.step);
     ++m_tasksPerWorker[task.step][worker];
 }
 
@@ -44,7 +45,7 @@
                              const WorkerIncarnation &worker)
 {
     markChanged();
-    m_usage.remove(job.terms.team, job.spec.steps[task.step.step].perTask);
+    m_usage.remove(job.terms.team, job.spec.steps[task.step.step]);
     const auto found = m_tasksPerWorker.find(task.step);
     if (found == m_tasksPerWorker.end())
         return;
@@ -63,8 +64,10 @@
 {
     markChanged();
     m_queue.updateJob(now, id, job);
-    if (job.isOver())
+    if (job.isOver()) {
         m_advice.forgetJob(id);
+        m_holds.endJob(id);
+    }
 }
 
 void StartPlanner::stepChanged(Instant now, const StepRef &step, const Job &job)
@@ -115,8 +118,10 @@
         m_queue.updateStep(now, ready.step, job);
         return;
     }
-    const bool mayStartSoon
-            = lookahead.claim(job, step, m_advice.adviceFor(now, ready.step), idle.size());
+    const bool mayStartSoon = lookahead.claim(job, step, m_advice.adviceFor(now, ready.step),
+                                              idle.size(), m_holds.mayHold(now, ready));
+    if (mayStartSoon)
+        m_holds.recordWaiting(now, ready.step);
     if (!job.terms.advice.has_value() || !mayStartSoon)
         return;
     // Further tickets would not let it start any earlier.
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -4,6 +4,7 @@
 #include "control/jobs/advice_lookahead.h"
 #include "control/jobs/job_store.h"
 #include "control/jobs/ready_queue.h"
+#include "control/jobs/room_holds.h"
 #include "control/jobs/start_admission.h"
 #include "control/jobs/start_policy.h"
 #include "control/jobs/team_usage.h"
@@ -110,6 +111,7 @@
     std::unique_ptr<WorkerCostPolicy> m_costPolicy;
     TeamUsage m_usage;
     ReadyQueue m_queue;
+    RoomHolds m_holds;
     /** Number of running tasks of a step on each worker. */
     std::map<StepRef, std::map<WorkerIncarnation, std::uint32_t>> m_tasksPerWorker;
     bool m_hasChanged = true;
--- a/control/jobs/team_usage.cpp
+++ b/control/jobs/team_usage.cpp
@@ -11,8 +11,28 @@
     return cap != 0 && value > cap;
 }
 
+Resources find(const std::map<TeamId, Resources> &usage, const TeamId &team)
+{
+    const auto found = usage.find(team);
+    return found == usage.end() ? Resources() : found->second;
+}
+
 } // namespace
 
+void TeamUsage::add(const TeamId &team, const StepSpec &step)
+{
+    m_running[team] += step.perTask;
+    if (step.isLongRunning)
+        m_longRunning[team] += step.perTask;
+}
+
+void TeamUsage::remove(const TeamId &team, const StepSpec &step)
+{
+    m_running[team] -= step.perTask;
+    if (step.isLongRunning)
+        m_longRunning[team] -= step.perTask;
+}
+
 bool TeamUsage::isWithinCap(const TeamId &team, const Resources &more) const
 {
     if (!m_store.document.has_value())
@@ -27,8 +47,12 @@
 
 Resources TeamUsage::running(const TeamId &team) const
 {
-    const auto found = m_running.find(team);
-    return found == m_running.end() ? Resources() : found->second;
+    return find(m_running, team);
+}
+
+Resources TeamUsage::longRunning(const TeamId &team) const
+{
+    return find(m_longRunning, team);
 }
 
 Resources TeamUsage::cap(const TeamId &team) const
--- a/control/jobs/team_usage.h
+++ b/control/jobs/team_usage.h
@@ -18,21 +18,25 @@
         : m_store(store)
     {}
 
-    void add(const TeamId &team, const Resources &resources) { m_running[team] += resources; }
-    /** Precondition: the resources were added. */
-    void remove(const TeamId &team, const Resources &resources) { m_running[team] -= resources; }
+    /** Counts a run of a task of \a step. */
+    void add(const TeamId &team, const StepSpec &step);
+    /** Precondition: the run was added. */
+    void remove(const TeamId &team, const StepSpec &step);
 
     /** True if the team may have \a more running beside what it has. False without a
      * configuration. */
     [[nodiscard]] bool isWithinCap(const TeamId &team, const Resources &more) const;
     /** What the team has running; nothing for an unknown team. */
     [[nodiscard]] Resources running(const TeamId &team) const;
+    /** The part of it that long-running tasks use. */
+    [[nodiscard]] Resources longRunning(const TeamId &team) const;
     /** The team's cap, where 0 means no limit. */
     [[nodiscard]] Resources cap(const TeamId &team) const;
 
 private:
     const JobStoreData &m_store;
     std::map<TeamId, Resources> m_running;
+    std::map<TeamId, Resources> m_longRunning;
 };
 
 } // namespace gentiancross
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -120,6 +120,8 @@
 void WorkerPool::open(PooledWorker &worker, const JobTaskRef &task, OpenRun run)
 {
     worker.reserved += run.reserved;
+    if (run.isLongRunning)
+        worker.longRunningReserved += run.reserved;
     worker.tailTargets += run.hasTailTarget ? 1 : 0;
     if (run.isBestEffort)
         worker.bestEffortCores += run.requested.cores;
@@ -132,6 +134,8 @@
     if (found == worker.runs.end())
         return;
     worker.reserved -= found->second.reserved;
+    if (found->second.isLongRunning)
+        worker.longRunningReserved -= found->second.reserved;
     worker.tailTargets -= found->second.hasTailTarget ? 1 : 0;
     if (found->second.isBestEffort)
         worker.bestEffortCores -= found->second.requested.cores;
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -81,6 +81,8 @@
     WorkerReport report;
     IncarnationProof proof = IncarnationProof::Heartbeat;
     Resources reserved;
+    /** What long-running runs have reserved, which is free again at no known time. */
+    Resources longRunningReserved;
     /** Cores that best-effort runs have requested. */
     MilliCores bestEffortCores;
     std::uint32_t tailTargets = 0;
@@ -186,6 +188,13 @@
     {
         return recordedEnd.value() - acknowledgedEnd.value();
     }
+    /** What is free once all runs have ended that end by themselves. */
+    [[nodiscard]] Resources capacityBesideLongRunning() const
+    {
+        Resources beside = report.capacity;
+        beside -= longRunningReserved;
+        return beside;
+    }
     [[nodiscard]] Resources freeCapacity() const
     {
         Resources free = report.capacity;
--- a/tests/control/jobs/start_planner_test.cpp
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -74,6 +74,20 @@
     /** Submits the job of a team without a cap that is to start on free capacity. */
     void submitSmallJob() { submit("/later/" + smallJob, makeStep(1, 400), "key-of-beta"); }
 
+    /** Runs a long-running task on each worker. */
+    void startLongRunningEverywhere(std::int64_t millicores)
+    {
+        StepSpec step = makeStep(Workers, millicores);
+        step.isLongRunning = true;
+        step.maxPerWorker = 1;
+        submit("/q/00000000000000c1", step, "key-of-beta");
+        approveAll(m_bench);
+        const std::vector<CallWorker> starts = m_bench.takeStarts();
+        REQUIRE(starts.size() == Workers);
+        for (const CallWorker &start : starts)
+            m_bench.answer(start, WorkerVerdict::Done);
+    }
+
     /** Runs for two seconds with an adviser that approves all; true if the small job starts. */
     bool startsSmallJob()
     {
@@ -258,6 +272,25 @@
         step.isGang = true;
         cell.submit("/q/" + backlogJob, step, "key-of-beta");
     }
+    SECTION("They fit on no worker beside its long-running task")
+    {
+        cell.startLongRunningEverywhere(500);
+        cell.submit("/q/" + backlogJob, makeStep(12, 600), "key-of-beta");
+    }
+    SECTION("They are long-running and fit on no worker beside its long-running task")
+    {
+        cell.startLongRunningEverywhere(500);
+        StepSpec step = makeStep(12, 600);
+        step.isLongRunning = true;
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
+    SECTION("They are a gang that fits on no workers beside their long-running tasks")
+    {
+        cell.startLongRunningEverywhere(500);
+        StepSpec step = makeStep(11, 500);
+        step.isGang = true;
+        cell.submit("/q/" + backlogJob, step, "key-of-beta");
+    }
     SECTION("Their pool has no workers")
     {
         cell.submit("/elsewhere/" + backlogJob, makeStep(100, 300), "key-of-beta");
@@ -266,6 +299,22 @@
     CHECK(cell.startsSmallJob());
 }
 
+// Guards against the same within one team: what can't run beside its long-running tasks used up the
+// cap for its other jobs.
+TEST_CASE("Waiting tasks that exceed what long-running tasks leave of the cap delay no other job")
+{
+    AdvisedCell cell(cores(2000));
+    StepSpec lasting = makeStep(3, 400);
+    lasting.isLongRunning = true;
+    cell.submit("/q/00000000000000c1", lasting, "key-of-alpha");
+    approveAll(cell.bench());
+    for (const CallWorker &start : cell.bench().takeStarts())
+        cell.bench().answer(start, WorkerVerdict::Done);
+    cell.submit("/q/" + backlogJob, makeStep(4, 900), "key-of-alpha");
+    cell.submit("/later/" + smallJob, makeStep(1, 400), "key-of-alpha");
+    CHECK(cell.startsSmallJob());
+}
+
 // Guards against an adviser that is busy with steps whose tickets expire before they can start.
 TEST_CASE("Advice is requested only for as many steps as may start soon")
 {
