Stop best-effort runs where a task with a latency target finds no worker

Cause: the two kinds never share a worker, and nothing made room for the restart. New best-effort tasks went to the workers with the most free cores, so each worker always had one.

The best-effort runs of one worker are now stopped for it, at once for a restart and after 2 s for a first start, and best-effort tasks are kept from that worker for 3 s. It is the worker where least is stopped. Runs of steps with a disruption budget are not stopped.

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -107,7 +107,7 @@
     run.run = progress.lastRun;
     run.reserved = step.reserved();
     run.requested = step.perTask;
-    run.hasTailTarget = step.isLongRunning && step.tailLatencyTarget > Milliseconds(0);
+    run.hasTailTarget = step.hasTailTarget();
     run.isBestEffort = step.isBestEffort;
     run.isLongRunning = step.isLongRunning;
     run.needsTicket = job.terms.advice.has_value();
@@ -143,6 +143,11 @@
         m_decisions.firstStartAt = m_now;
 }
 
+void CellLeader::onEvictionDecided(const Eviction &eviction)
+{
+    m_runs.requestStop(m_now, eviction.worker, eviction.task);
+}
+
 void CellLeader::receive(Instant now, Milliseconds wall, const CallOrigin &origin,
                          const CellCall &call, Outbox &out)
 {
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -115,6 +115,7 @@
     }
     void onStartDecided(const JobTaskRef &task, RunNumber run,
                         const WorkerIncarnation &worker) override;
+    void onEvictionDecided(const Eviction &eviction) override;
 
     void apply(JobRecord record) override;
     void answer(const CallOrigin &origin, CallAnswer answer) override;
--- a/control/jobs/room_holds.cpp
+++ b/control/jobs/room_holds.cpp
@@ -20,6 +20,12 @@
     return (now - found->second).value() / term.value() % 2 == 0;
 }
 
+Milliseconds RoomHolds::waitedFor(Instant now, const StepRef &step) const
+{
+    const auto found = m_waitingSince.find(step);
+    return found == m_waitingSince.end() ? Milliseconds(0) : now - found->second;
+}
+
 void RoomHolds::endJob(const JobId &job)
 {
     auto next = m_waitingSince.lower_bound(StepRef{job, 0, 0});
--- a/control/jobs/room_holds.h
+++ b/control/jobs/room_holds.h
@@ -18,6 +18,8 @@
     [[nodiscard]] bool mayHold(Instant now, const ReadyStep &ready) const;
     /** Records that the step waits for room; its first term begins with the first such call. */
     void recordWaiting(Instant now, const StepRef &step) { m_waitingSince.try_emplace(step, now); }
+    /** How long the step has waited for room. */
+    [[nodiscard]] Milliseconds waitedFor(Instant now, const StepRef &step) const;
     /** Ends the wait of a step that has started, or has nothing left to start. */
     void end(const StepRef &step) { m_waitingSince.erase(step); }
     void endJob(const JobId &job);
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -64,6 +64,17 @@
     , m_lastCall(fence.value() << IdBitsPerFence)
 {}
 
+void RunTracker::requestStop(Instant now, const WorkerIncarnation &incarnation,
+                             const JobTaskRef &task)
+{
+    PooledWorker *const worker = m_pool.find(incarnation);
+    if (worker == nullptr || !worker->runs.contains(task))
+        return;
+    OpenRun &run = worker->runs.at(task);
+    run.isStopping = true;
+    run.nextAttempt = now;
+}
+
 void RunTracker::endRun(const WorkerIncarnation &incarnation, const JobTaskRef &task,
                         RunEnding ending, Outbox &out)
 {
--- a/control/jobs/run_tracker.h
+++ b/control/jobs/run_tracker.h
@@ -37,6 +37,8 @@
     void tick(Instant now, Outbox &out);
     /** Sends the worker the start and stop orders and the lease renewal that are due. */
     void sendDueOrders(Instant now, PooledWorker &worker, Outbox &out);
+    /** Stops a run with the next tick; its task starts again unless it is over. */
+    void requestStop(Instant now, const WorkerIncarnation &incarnation, const JobTaskRef &task);
     /** Ends a run that is over, or never began, although the worker has not listed its end. */
     void endRun(const WorkerIncarnation &incarnation, const JobTaskRef &task, RunEnding ending,
                 Outbox &out);
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -1,7 +1,10 @@
 #include "control/jobs/start_planner.h"
 
+#include "control/jobs/run_names.h"
 #include "control/jobs/task_fit.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace gentiancross {
@@ -18,6 +21,9 @@
 constexpr std::int64_t SlowWorkerCost = 10'000'000;
 /** A task prefers a slow worker to the one on which it has failed. */
 constexpr std::int64_t FailedWorkerCost = 20'000'000;
+/** After this time best-effort runs are stopped for the first start of a task with a latency
+ * target. */
+constexpr Milliseconds MaxWaitForWorker{2000};
 
 } // namespace
 
@@ -31,6 +37,7 @@
     , m_costPolicy(std::move(costPolicy))
     , m_usage(store)
     , m_queue(std::move(order))
+    , m_evictor(store, pool, advice)
 {}
 
 void StartPlanner::runOpened(const JobTaskRef &task, const Job &job,
@@ -122,6 +129,8 @@
                                               idle.size(), m_holds.mayHold(now, ready));
     if (mayStartSoon)
         m_holds.recordWaiting(now, ready.step);
+    if (!isHeldBack)
+        evictBestEffort(now, ready, job, idle.size(), handler, out);
     if (!job.terms.advice.has_value() || !mayStartSoon)
         return;
     // Further tickets would not let it start any earlier.
@@ -190,6 +199,24 @@
     return false;
 }
 
+void StartPlanner::evictBestEffort(Instant now, const ReadyStep &ready, const Job &job,
+                                   std::uint64_t tasks, StartHandler &handler, Outbox &out)
+{
+    const StepSpec &step = job.spec.steps[ready.step.step];
+    // A restart must be at work again soon; a first start may find a worker that becomes free.
+    const bool isDue = ready.reason == WaitReason::Restart
+            || m_holds.waitedFor(now, ready.step) >= MaxWaitForWorker;
+    if (!isDue || step.isGang || !step.hasTailTarget())
+        return;
+    for (const Eviction &eviction : m_evictor.makeRoom(now, ready.step, job, tasks)) {
+        out.note(eviction.task.step.job.value(),
+                 absl::StrCat("best-effort run evicted: task=", nameOf(eviction.task), " worker=",
+                              eviction.worker.worker.value(), " for_job=", ready.step.job.value()));
+        out.count(CellEvent::BestEffortEvicted);
+        handler.onEvictionDecided(eviction);
+    }
+}
+
 bool StartPlanner::hasRoomWithTickets(Instant now, const StepRef &ref, const Job &job,
                                       std::uint64_t tasks)
 {
@@ -284,6 +311,8 @@
     if (worker.report.pool != job.terms.pool || !WorkerPool::isUsable(worker, now)
         || !canRunOn(worker, step))
         return std::nullopt;
+    if (step.isBestEffort && now < worker.keptFromBestEffortUntil)
+        return std::nullopt;
     if (constraints.rack != nullptr && worker.report.rack != *constraints.rack)
         return std::nullopt;
     if (step.maxPerWorker > 0) {
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -2,6 +2,7 @@
 
 #include "control/jobs/advice_coordinator.h"
 #include "control/jobs/advice_lookahead.h"
+#include "control/jobs/best_effort_evictor.h"
 #include "control/jobs/job_store.h"
 #include "control/jobs/ready_queue.h"
 #include "control/jobs/room_holds.h"
@@ -33,6 +34,8 @@
     virtual void onStartDecided(const JobTaskRef &task, RunNumber run,
                                 const WorkerIncarnation &worker)
             = 0;
+    /** Called when a best-effort run is to be stopped for a task with a latency target. */
+    virtual void onEvictionDecided(const Eviction &eviction) = 0;
 };
 
 /**
@@ -86,6 +89,9 @@
      * limit holds the rest back. */
     bool planTasks(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
     bool planGang(Instant now, const ReadyStep &ready, const Job &job, StartHandler &handler);
+    /** Stops best-effort runs if the waiting tasks of a step with a latency target need it. */
+    void evictBestEffort(Instant now, const ReadyStep &ready, const Job &job, std::uint64_t tasks,
+                         StartHandler &handler, Outbox &out);
     /** True if the workers with a valid ticket for the step have room for \a tasks of its tasks. */
     [[nodiscard]] bool hasRoomWithTickets(Instant now, const StepRef &ref, const Job &job,
                                           std::uint64_t tasks);
@@ -112,6 +118,7 @@
     TeamUsage m_usage;
     ReadyQueue m_queue;
     RoomHolds m_holds;
+    BestEffortEvictor m_evictor;
     /** Number of running tasks of a step on each worker. */
     std::map<StepRef, std::map<WorkerIncarnation, std::uint32_t>> m_tasksPerWorker;
     bool m_hasChanged = true;
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -129,8 +129,7 @@
 
 bool canRunOn(const PooledWorker &worker, const StepSpec &step)
 {
-    const bool hasTarget = step.isLongRunning && step.tailLatencyTarget > Milliseconds(0);
-    if (hasTarget && worker.bestEffortCores > MilliCores(0))
+    if (step.hasTailTarget() && worker.bestEffortCores > MilliCores(0))
         return false;
     if (step.isBestEffort && worker.tailTargets > 0)
         return false;
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -86,6 +86,8 @@
     /** Cores that best-effort runs have requested. */
     MilliCores bestEffortCores;
     std::uint32_t tailTargets = 0;
+    /** Until this time it gets no best-effort tasks, so that one with a latency target finds it. */
+    Instant keptFromBestEffortUntil;
     std::map<JobTaskRef, OpenRun> runs;
     /** False for an incarnation that has answered calls but sent no heartbeat, so that its capacity
      * is unknown. */
--- a/core/jobs.h
+++ b/core/jobs.h
@@ -143,6 +143,11 @@
                         self.tailLatencyTarget, self.isBestEffort, self.disruptionBudget);
     }
 
+    /** True if tasks serve users of their own, whose response times must stay below a target. */
+    [[nodiscard]] bool hasTailTarget() const
+    {
+        return isLongRunning && tailLatencyTarget > Milliseconds(0);
+    }
     /** What a task reserves of its worker's free capacity. */
     [[nodiscard]] Resources reserved() const
     {
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -84,6 +84,8 @@
     LateEndReleased,
     /** The lease of a worker with long-running tasks was left to lapse for that. */
     LeaseWithheld,
+    /** A best-effort run was stopped, so that a task with a latency target finds a worker. */
+    BestEffortEvicted,
 };
 
 /** Time spans that are measured. */
--- a/tests/control/jobs/start_planner_test.cpp
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -149,6 +149,8 @@
         ++count;
     }
 
+    void onEvictionDecided(const Eviction &) override {}
+
     std::size_t count = 0;
 };
 
