Count failures of a job on several workers against none of them

Cause: failures of three different jobs in a row make a worker avoided for 4 s, whosever fault they are, and after the pause one more was enough.

A job that fails on a second worker is now taken for the cause until a run of it ends well: its failures count against no worker, and what its first one counted is taken back. A worker that fails what runs well elsewhere is avoided as before.

--- a/control/jobs/run_end_recorder.cpp
+++ b/control/jobs/run_end_recorder.cpp
@@ -49,6 +49,7 @@
         if (end.ending == RunEnding::Done) {
             recordPace(now, worker, end);
             worker.consecutiveFailures = 0;
+            m_failures.recordSuccess(end.task.step.job);
         } else if (end.ending == RunEnding::Failed) {
             recordFailure(now, worker, end.task.step.job, out);
         }
@@ -138,6 +139,17 @@
 
 void RunEndRecorder::recordFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out)
 {
+    const FailureAttribution::Verdict verdict
+            = m_failures.recordFailure(job, worker.report.incarnation.worker);
+    if (verdict.exonerated.has_value()) {
+        out.note(job.value(),
+                 absl::StrCat("job fails on several workers, which are not at fault: ", "first=",
+                              verdict.exonerated->value(),
+                              " then=", worker.report.incarnation.worker.value()));
+        exonerate(now, *verdict.exonerated);
+    }
+    if (verdict.cause == FailureCause::Job)
+        return;
     if (worker.lastFailedJob == job && worker.consecutiveFailures > 0)
         return;
     worker.lastFailedJob = job;
@@ -149,6 +161,17 @@
                                  worker.consecutiveFailures)});
 }
 
+void RunEndRecorder::exonerate(Instant now, const WorkerId &name)
+{
+    PooledWorker *const worker = m_pool.findNewestIncarnation(name);
+    if (worker == nullptr || worker->consecutiveFailures == 0)
+        return;
+    if (worker->consecutiveFailures-- < MaxConsecutiveFailures || now >= worker->avoidUntil)
+        return;
+    worker->avoidUntil = now;
+    m_results.onWorkerUsable();
+}
+
 void RunEndRecorder::recordPace(Instant now, PooledWorker &worker, const ReportedCompletion &end)
 {
     const auto run = worker.runs.find(end.task);
--- a/control/jobs/run_end_recorder.h
+++ b/control/jobs/run_end_recorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/jobs/failure_attribution.h"
 #include "control/jobs/job_store.h"
 #include "control/jobs/run_result_handler.h"
 #include "control/jobs/worker_pool.h"
@@ -38,12 +39,15 @@
                                bool hasLeaseLapsed, Outbox &out);
     /** True if a start of the task would break the rules once \a end is acknowledged. */
     [[nodiscard]] bool mustStayListed(const ReportedCompletion &end);
-    static void recordFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
+    void recordFailure(Instant now, PooledWorker &worker, const JobId &job, Outbox &out);
+    /** Takes back what a failure has counted against a worker. */
+    void exonerate(Instant now, const WorkerId &name);
     void recordPace(Instant now, PooledWorker &worker, const ReportedCompletion &end);
 
     const JobStoreData &m_store;
     WorkerPool &m_pool;
     RunResultHandler &m_results;
+    FailureAttribution m_failures;
 };
 
 } // namespace gentiancross
