Answer "unknown" to a submission that a leader may have accepted

Cause: CallRelay forgot what it had sent when the caller disconnected, and refused the second attempt as one that had no effect.

It remembers for a minute which submissions it has sent without an answer.

--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -28,6 +28,18 @@
 constexpr Milliseconds MaxTakeoverTime{1200};
 /** Without a quorum nothing is decided until hosts are back, which takes some seconds. */
 constexpr Milliseconds OutageRetryDelay{1000};
+/** How long a caller may send a submission again that got no answer; with its retries some ten
+ * seconds. */
+constexpr Milliseconds MaxResubmissionAge{60'000};
+
+/** Identifies the job of a submission; empty for other calls. */
+std::optional<std::pair<std::string, std::string>> submissionKey(const CellCall &call)
+{
+    const auto *const job = std::get_if<JobCall>(&call);
+    if (job == nullptr || job->verb != JobVerb::Submit)
+        return std::nullopt;
+    return std::pair(job->host, job->path);
+}
 
 } // namespace
 
@@ -54,7 +66,7 @@
 {
     const bool isTakeover = now - m_leaderHeardAt < MaxLeaderSilence + MaxTakeoverTime;
     if (!hasLeader(now) && !isTakeover) {
-        refuse(event.exchange, out);
+        refuse(event.exchange, event.call, out);
         return;
     }
     Pending pending{event.call, now + event.timeout, std::nullopt};
@@ -63,17 +75,37 @@
     m_pending.emplace(event.exchange, std::move(pending));
 }
 
-void CallRelay::refuse(ExchangeId exchange, Outbox &out)
+bool CallRelay::mayBeAccepted(const CellCall &call) const
+{
+    const auto key = submissionKey(call);
+    return key.has_value() && m_unansweredSubmissions.contains(*key);
+}
+
+void CallRelay::refuse(ExchangeId exchange, const CellCall &call, Outbox &out)
 {
+    if (mayBeAccepted(call)) {
+        answerUnknown(exchange, out);
+        return;
+    }
     out.add(AnswerCall{exchange,
                        CallRefused{Refusal::Unavailable, "no leader is known", OutageRetryDelay}});
     out.add(LogLine{true, "relay",
                     absl::StrCat("refused: exchange=", exchange.value(), " no leader is known")});
 }
 
+void CallRelay::answerUnknown(ExchangeId exchange, Outbox &out)
+{
+    out.add(AnswerCall{exchange, CallRefused{Refusal::Unknown, "the leader has not answered", {}}});
+    out.add(LogLine{
+            true, "relay",
+            absl::StrCat("unknown: exchange=", exchange.value(), " the leader has not answered")});
+}
+
 void CallRelay::send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out)
 {
     pending.sentAt = now;
+    if (const auto key = submissionKey(pending.call))
+        m_unansweredSubmissions[*key] = now;
     out.send(*m_leader, RelayCallRequest{exchange, pending.call, m_query.session});
 }
 
@@ -116,6 +148,8 @@
         return std::nullopt;
     CellCall call = std::move(found->second.call);
     m_pending.erase(found);
+    if (const auto key = submissionKey(call))
+        m_unansweredSubmissions.erase(*key);
     out.add(AnswerCall{message.exchange, message.answer});
     return call;
 }
@@ -123,6 +157,8 @@
 void CallRelay::tick(Instant now, Outbox &out)
 {
     expire(now, out);
+    std::erase_if(m_unansweredSubmissions,
+                  [now](const auto &entry) { return now - entry.second > MaxResubmissionAge; });
     if (hasLeader(now)) {
         for (auto &[exchange, pending] : m_pending) {
             if (!pending.sentAt.has_value() || now - *pending.sentAt >= ResendAfter)
@@ -154,13 +190,9 @@
             continue;
         }
         if (wasSent) {
-            out.add(AnswerCall{pending->first,
-                               CallRefused{Refusal::Unknown, "the leader has not answered", {}}});
-            out.add(LogLine{true, "relay",
-                            absl::StrCat("unknown: exchange=", pending->first.value(),
-                                         " the leader has not answered")});
+            answerUnknown(pending->first, out);
         } else {
-            refuse(pending->first, out);
+            refuse(pending->first, pending->second.call, out);
         }
         pending = m_pending.erase(pending);
     }
--- a/control/jobs/call_relay.h
+++ b/control/jobs/call_relay.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace gentiancross {
 
@@ -54,7 +56,13 @@
         std::optional<Instant> sentAt;
     };
 
-    static void refuse(ExchangeId exchange, Outbox &out);
+    /** Refuses a call that no leader can decide on. */
+    void refuse(ExchangeId exchange, const CellCall &call, Outbox &out);
+    /** Answers that nobody knows whether the call was executed. */
+    static void answerUnknown(ExchangeId exchange, Outbox &out);
+    /** True if this host has sent the same submission to a leader and got no answer for it, so that
+     * the job may run. */
+    [[nodiscard]] bool mayBeAccepted(const CellCall &call) const;
     void send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out);
     void expire(Instant now, Outbox &out);
     /** The follower that this host queries instead of the leader; empty if there is none. */
@@ -72,6 +80,9 @@
     Instant m_nextQuery;
     Instant m_nextAllKeepersQuery;
     std::map<ExchangeId, Pending> m_pending;
+    /** When submissions were sent to a leader that has not answered, by host and path. Their
+     * callers may be gone, and send them again. */
+    std::map<std::pair<std::string, std::string>, Instant> m_unansweredSubmissions;
 };
 
 } // namespace gentiancross
