--- a/tests/control/jobs/worker_restart_test.cpp
+++ b/tests/control/jobs/worker_restart_test.cpp
@@ -12,7 +12,7 @@
 const std::string job = "00000000000000aa";
 const std::string otherJob = "00000000000000bb";
 const std::string thirdJob = "00000000000000cc";
-constexpr AdviceTerms adviceTerms{1000, 0, Milliseconds(60'000)};
+constexpr AdviceTerms Terms{1000, 0, Milliseconds(60'000)};
 
 ReportedCompletion ended(std::uint64_t number, const std::string &ofJob, std::uint64_t run,
                          RunEnding ending = RunEnding::Done)
@@ -313,7 +313,7 @@
 TEST_CASE("A worker gets a higher fencing token after a start there has lapsed without an answer")
 {
     LeaderBench bench;
-    bench.configure({}, adviceTerms);
+    bench.configure({}, Terms);
     bench.sendHeartbeat("v");
     bench.sendHeartbeat("w");
     bench.submit(job, {makeStep(1, 100)});
@@ -485,7 +485,7 @@
 TEST_CASE("A worker under the name of one that has left is polled before it gets runs")
 {
     LeaderBench bench;
-    bench.configure({}, adviceTerms);
+    bench.configure({}, Terms);
     bench.sendHeartbeat("v");
     bench.submit(job, {makeStep(1, 100)});
     bench.grantTickets();
@@ -591,7 +591,7 @@
 TEST_CASE("A task with a ticket starts elsewhere once its worker's lease has lapsed")
 {
     LeaderBench bench;
-    bench.configure({}, adviceTerms);
+    bench.configure({}, Terms);
     bench.sendHeartbeat("v");
     bench.submit(job, {makeStep(1, 100)});
     bench.grantTickets();
