--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -28,8 +28,7 @@
 constexpr Milliseconds MaxTakeoverTime{1200};
 /** Without a quorum nothing is decided until hosts are back, which takes some seconds. */
 constexpr Milliseconds OutageRetryDelay{1000};
-/** How long a caller may send a submission again that got no answer; with its retries some ten
- * seconds. */
+/** Longer than a caller goes on to send a submission again that got no answer. */
 constexpr Milliseconds MaxResubmissionAge{60'000};
 
 /** Identifies the job of a submission; empty for other calls. */
