Count a worker's tasks within the step's limit in one place

The planner, the look-ahead and the evictor each capped the whole tasks that fit on a worker by max_per_server; wholeTasksOnWorker does it for all four places. A gang's members are stopped by requestStop as evicted runs are, and call_relay_test shares its set-up.

--- a/control/jobs/advice_lookahead.cpp
+++ b/control/jobs/advice_lookahead.cpp
@@ -125,9 +125,7 @@
             break;
         if (!isEligible(*worker, job, step, advice))
             continue;
-        const std::uint64_t here
-                = wholeTasksIn(worker->capacityBesideLongRunning(), step.reserved());
-        held += step.maxPerWorker > 0 ? std::min<std::uint64_t>(here, step.maxPerWorker) : here;
+        held += wholeTasksOnWorker(worker->capacityBesideLongRunning(), step);
     }
     return held >= tasks;
 }
--- a/control/jobs/best_effort_evictor.cpp
+++ b/control/jobs/best_effort_evictor.cpp
@@ -79,8 +79,7 @@
             return 0;
         free += run.reserved;
     }
-    const std::uint64_t room = wholeTasksIn(free, step.reserved());
-    return step.maxPerWorker > 0 ? std::min<std::uint64_t>(room, step.maxPerWorker) : room;
+    return wholeTasksOnWorker(free, step);
 }
 
 bool BestEffortEvictor::mayStop(const JobTaskRef &task, const OpenRun &run) const
--- a/control/jobs/room_holds.h
+++ b/control/jobs/room_holds.h
@@ -20,7 +20,7 @@
     void recordWaiting(Instant now, const StepRef &step) { m_waitingSince.try_emplace(step, now); }
     /** How long the step has waited for room. */
     [[nodiscard]] Milliseconds waitedFor(Instant now, const StepRef &step) const;
-    /** Ends the wait of a step that has started, or has nothing left to start. */
+    /** Ends the wait of a step that has started. */
     void end(const StepRef &step) { m_waitingSince.erase(step); }
     void endJob(const JobId &job);
 
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -510,8 +510,7 @@
         const auto member = worker->runs.find(task);
         if (member == worker->runs.end() || member->second.run != run || member->second.isStopping)
             continue;
-        member->second.isStopping = true;
-        member->second.nextAttempt = now;
+        requestStop(now, progress->worker, task);
         sendDueOrders(now, *worker, out);
     }
 }
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -226,9 +226,7 @@
         const PooledWorker *const worker = m_pool.findNewestIncarnation(name);
         if (worker == nullptr || !costOn(now, *worker, ref, job, {}).has_value())
             return;
-        const std::uint64_t here
-                = step.isBestEffort ? 1 : wholeTasksIn(worker->freeCapacity(), step.reserved());
-        room += step.maxPerWorker > 0 ? std::min<std::uint64_t>(here, step.maxPerWorker) : here;
+        room += step.isBestEffort ? 1 : wholeTasksOnWorker(worker->freeCapacity(), step);
     });
     return room >= tasks;
 }
@@ -240,10 +238,7 @@
     for (const auto &[incarnation, worker] : m_pool.all()) {
         if (!WorkerPool::isUsable(worker, now) || !couldRunWhenIdle(worker, job.terms.pool, step))
             continue;
-        const std::uint64_t members = wholeTasksIn(worker.freeCapacity(), step.reserved());
-        room[worker.report.rack] += step.maxPerWorker > 0
-                ? std::min<std::uint64_t>(members, step.maxPerWorker)
-                : members;
+        room[worker.report.rack] += wholeTasksOnWorker(worker.freeCapacity(), step);
     }
     return room;
 }
--- a/control/jobs/task_fit.cpp
+++ b/control/jobs/task_fit.cpp
@@ -33,6 +33,12 @@
                      [](std::int64_t left, std::int64_t requested) { return left / requested; });
 }
 
+std::uint64_t wholeTasksOnWorker(const Resources &room, const StepSpec &step)
+{
+    const std::uint64_t tasks = wholeTasksIn(room, step.reserved());
+    return step.maxPerWorker > 0 ? std::min<std::uint64_t>(tasks, step.maxPerWorker) : tasks;
+}
+
 std::uint64_t milliTasksIn(const Resources &room, const Resources &task)
 {
     return leastOver(room, task, [](std::int64_t left, std::int64_t requested) {
--- a/tests/control/jobs/call_relay_test.cpp
+++ b/tests/control/jobs/call_relay_test.cpp
@@ -22,6 +22,15 @@
             Milliseconds(3000)};
 }
 
+/** Sends the submission to the keeper, which leads. */
+void relayToLeader(CallRelay &relay, const CellCallReceived &submission, Outbox &out)
+{
+    LeaderReport report;
+    report.decides = true;
+    relay.receive(Now, keeper, report, out);
+    relay.receive(Now, submission, out);
+}
+
 std::optional<Refusal> refusalOf(ExchangeId exchange, Outbox &out)
 {
     for (const Effect &effect : out.take()) {
@@ -41,10 +50,7 @@
 {
     Outbox out(false);
     CallRelay relay(HostId("entry"), {}, {keeper});
-    LeaderReport report;
-    report.decides = true;
-    relay.receive(Now, keeper, report, out);
-    relay.receive(Now, submissionOf(1, "00000000000000aa"), out);
+    relayToLeader(relay, submissionOf(1, "00000000000000aa"), out);
     SECTION("its caller has disconnected")
     {
         relay.forgetExchange(ExchangeId(1));
@@ -64,10 +70,7 @@
 {
     Outbox out(false);
     CallRelay relay(HostId("entry"), {}, {keeper});
-    LeaderReport report;
-    report.decides = true;
-    relay.receive(Now, keeper, report, out);
-    relay.receive(Now, submissionOf(1, "00000000000000aa"), out);
+    relayToLeader(relay, submissionOf(1, "00000000000000aa"), out);
     RelayCallResponse response;
     response.exchange = ExchangeId(1);
     response.answer = CallRefused{Refusal::Unavailable, "queue is full", {}};
