Test what untrusted clients send, against real processes

What operators saw: clients that leave bodies unfinished ended an entry host, which ran out of memory.

Change: tests/clients starts a keeper and an entry host for each case, with lowered memory_mb and max_fds in their settings, and sends the same bytes over 50 to 400 connections to one address of the host. Checked are that the process lives, that its peak of resident memory and its open descriptors stay within its settings, and that a caller's and an operator's call are answered beside the crowd. The case "calm" sends single requests inside the limits of ordinary clients. Crowds and bounds are fixed here, before the product is changed. "make clients" runs them; they are not part of make test until the fault is fixed.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,13 @@
 soak-mixed-incarnations: build
 	@$(SOAK) --mix-incarnations --workers 48 --jobs 12 --seed 3300 --known-red KNOWN-RED.txt
 
+# What untrusted clients may send, against real processes: make clients [CASE=front-whole]. Not part of
+# make test until the byte budget is in place.
+.PHONY: clients
+clients: build
+	@$(BUILD)/tests/untrusted-clients --binary $(BUILD)/gentiancross --folder $(BUILD)/clients-runs \
+	  --known-red KNOWN-RED.txt $(if $(CASE),--case $(CASE))
+
 bench: build
 	@$(BUILD)/benchmarks/bench $(BUILD)/bench.json $$(git rev-parse --short HEAD)
 
