Count the control thread's time by kind of event

Seen: on the deployment with 350 workers the leader's processor is full in a burst, and a running process did not tell what it spends its time on.

Cause of the gap: no counter of time existed; profilers cannot be attached to a deployment.

CellMetrics exports them and adds them to the metrics log line when something else has grown too, so that an idle host logs no more than before.

--- a/core/measurements.h
+++ b/core/measurements.h
@@ -144,9 +144,58 @@
     Milliseconds length;
 };
 
+/** What the control thread has handled; the kinds of which its time is measured. */
+enum class EventKind {
+    Tick,
+    /** Records of this host are on disk. */
+    Sync,
+    /** A caller's call about a job. */
+    JobCall,
+    Configuration,
+    /** A heartbeat or a leave call of a worker. */
+    Heartbeat,
+    /** Heartbeats that another keeper has acknowledged. */
+    HeartbeatsReport,
+    /** The answer of a worker that this host has called, by kind of order. */
+    StartAnswer,
+    StopAnswer,
+    RenewalAnswer,
+    /** Answers of workers that another keeper has called. */
+    WorkerAnswers,
+    /** Orders that the leader has passed to this host. */
+    WorkerOrders,
+    /** A request to the adviser or its answer. */
+    Advice,
+    /** Messages of the replicated log. */
+    Log,
+    /** Messages by which hosts find the leader, and answers to relayed calls. */
+    Relay,
+    Other,
+};
+
+/** Events of one kind that the control thread has handled since the last such measurement. */
+struct EventsHandled
+{
+    EventKind kind = EventKind::Other;
+    std::uint64_t events = 0;
+    Microseconds busy;
+};
+
+enum class ProcessorPart {
+    ControlThread,
+    Process,
+};
+
+/** Processor time used since the last such measurement. */
+struct ProcessorUsed
+{
+    ProcessorPart part = ProcessorPart::Process;
+    Microseconds time;
+};
+
 /** A count or a measurement for the metrics. No decision depends on it. */
 using Measurement = std::variant<OrderCounted, OrderResultCounted, RunEndCounted, EventCounted,
-                                 SpanMeasured, OrderSpanMeasured>;
+                                 SpanMeasured, OrderSpanMeasured, EventsHandled, ProcessorUsed>;
 using Measurements = std::vector<Measurement>;
 
 } // namespace gentiancross
--- a/core/units.h
+++ b/core/units.h
@@ -43,6 +43,9 @@
 };
 
 using Milliseconds = Quantity<struct MillisecondsTag>;
+/** For measured times only; all decisions are made in milliseconds. */
+using Microseconds = Quantity<struct MicrosecondsTag>;
+using Nanoseconds = Quantity<struct NanosecondsTag>;
 /** Processor capacity, in thousandths of a core. */
 using MilliCores = Quantity<struct MilliCoresTag>;
 /** Memory, in units of 1,048,576 bytes. */
--- a/servers/cell_metrics.cpp
+++ b/servers/cell_metrics.cpp
@@ -60,6 +60,12 @@
                                   "end_durable_milliseconds", "tick_gap_milliseconds"};
 constexpr std::array OrderSpanNames = {"order_sent_milliseconds", "order_answered_milliseconds"};
 
+constexpr std::array HandledNames
+        = {"tick",          "sync",         "job_call",    "configuration", "heartbeat",
+           "heartbeats",    "start_answer", "stop_answer", "hold_answer",   "worker_answers",
+           "worker_orders", "advice",       "log",         "relay",         "other"};
+constexpr std::array ProcessorNames = {"control", "process"};
+
 template <typename Enum>
 constexpr std::size_t indexOf(Enum value)
 {
@@ -67,6 +73,8 @@
 }
 static_assert(EventNames.size() == indexOf(CellEvent::BestEffortEvicted) + 1,
               "Each event has a name, in the order of the enumerators.");
+static_assert(HandledNames.size() == indexOf(EventKind::Other) + 1,
+              "Each kind of event has a name, in the order of the enumerators.");
 
 std::string withLabels(const std::string &name, const std::string &labels)
 {
@@ -125,6 +133,14 @@
     }
     for (const auto &[name, labels] : EventNames)
         m_events.push_back({nameOf(name, labels)});
+    for (const char *kind : HandledNames) {
+        const std::string label = absl::StrCat("event=\"", kind, "\"");
+        m_handled.push_back({nameOf("control_events_total", label)});
+        m_busy.push_back({nameOf("control_busy_microseconds_total", label)});
+    }
+    for (const char *part : ProcessorNames)
+        m_processor.push_back(
+                {nameOf("processor_microseconds_total", absl::StrCat("part=\"", part, "\""))});
     for (const char *name : SpanNames)
         m_spans.emplace_back(nameOf(name, {}));
     for (const char *name : OrderSpanNames) {
@@ -168,6 +184,19 @@
                measurement.length);
 }
 
+void CellMetrics::record(const EventsHandled &measurement)
+{
+    m_handled.at(indexOf(measurement.kind)).total += measurement.events;
+    m_busy.at(indexOf(measurement.kind)).total
+            += static_cast<std::uint64_t>(measurement.busy.value());
+}
+
+void CellMetrics::record(const ProcessorUsed &measurement)
+{
+    m_processor.at(indexOf(measurement.part)).total
+            += static_cast<std::uint64_t>(measurement.time.value());
+}
+
 void CellMetrics::recordTime(Summary &summary, Milliseconds length)
 {
     summary.times(static_cast<double>(length.value()));
@@ -194,16 +223,13 @@
 std::string CellMetrics::takeChanges()
 {
     std::string line;
-    for (std::vector<Counter> *const family : {&m_orders, &m_orderResults, &m_runEnds, &m_events}) {
-        for (Counter &counter : *family) {
-            const std::uint64_t increase
-                    = counter.total - std::exchange(counter.logged, counter.total);
-            if (increase > 0)
-                absl::StrAppend(&line, line.empty() ? "" : " ",
-                                shortName(counter.name.name, counter.name.labels), "=", increase);
-        }
-    }
+    for (std::vector<Counter> *const family : {&m_orders, &m_orderResults, &m_runEnds, &m_events})
+        appendIncreases(*family, line);
     const bool hasChanged = !line.empty();
+    if (hasChanged) {
+        for (std::vector<Counter> *const family : {&m_handled, &m_busy, &m_processor})
+            appendIncreases(*family, line);
+    }
     for (std::vector<Summary> *const family : {&m_spans, &m_orderSpans}) {
         for (Summary &summary : *family) {
             const Milliseconds longest = std::exchange(summary.longest, Milliseconds(0));
@@ -216,12 +242,22 @@
     return line;
 }
 
+void CellMetrics::appendIncreases(std::vector<Counter> &counters, std::string &line)
+{
+    for (Counter &counter : counters) {
+        const std::uint64_t increase = counter.total - std::exchange(counter.logged, counter.total);
+        if (increase > 0)
+            absl::StrAppend(&line, line.empty() ? "" : " ",
+                            shortName(counter.name.name, counter.name.labels), "=", increase);
+    }
+}
+
 std::string CellMetrics::text() const
 {
     const std::lock_guard lock(m_mutex);
     std::string out;
     for (const std::vector<Counter> *const family :
-         {&m_orders, &m_orderResults, &m_runEnds, &m_events})
+         {&m_orders, &m_orderResults, &m_runEnds, &m_events, &m_handled, &m_busy, &m_processor})
         writeCounters(*family, out);
     for (const std::vector<Summary> *const family : {&m_spans, &m_orderSpans}) {
         writeSummaries(*family, out);
--- a/servers/cell_metrics.h
+++ b/servers/cell_metrics.h
@@ -17,9 +17,9 @@
 namespace gentiancross {
 
 /**
- * Owns the counters and time summaries of a cell: orders to workers, runs, leases and changes of
- * leader. Receives measurements as effects; exports them as text for the metrics address and, while
- * counters change, as a log line every few seconds. Thread safety: any thread.
+ * Owns the counters and time summaries of a cell: orders to workers, runs, leases, changes of
+ * leader and processor time. Receives measurements as effects; exports them as text for the metrics
+ * address and, while counters change, as a log line every few seconds. Thread safety: any thread.
  */
 class CellMetrics final : public EffectHandler
 {
@@ -73,13 +73,16 @@
     void record(const EventCounted &measurement);
     void record(const SpanMeasured &measurement);
     void record(const OrderSpanMeasured &measurement);
+    void record(const EventsHandled &measurement);
+    void record(const ProcessorUsed &measurement);
     static void recordTime(Summary &summary, Milliseconds length);
     static void writeCounters(const std::vector<Counter> &counters, std::string &out);
     static void writeSummaries(const std::vector<Summary> &summaries, std::string &out);
     static void writeMaxima(const std::vector<Summary> &summaries, std::string &out);
-    /** Returns the increases since the last log line, and resets them; empty if no counter changed.
-     */
+    /** Returns the increases since the last log line, and resets them; empty if no counter changed
+     * but those of the control thread's time. */
     std::string takeChanges();
+    static void appendIncreases(std::vector<Counter> &counters, std::string &line);
 
     EffectHandler &m_log;
     mutable std::mutex m_mutex;
@@ -87,6 +90,10 @@
     std::vector<Counter> m_orderResults;
     std::vector<Counter> m_runEnds;
     std::vector<Counter> m_events;
+    /** Events handled by the control thread, its time and the processor's; these always grow. */
+    std::vector<Counter> m_handled;
+    std::vector<Counter> m_busy;
+    std::vector<Counter> m_processor;
     std::vector<Summary> m_spans;
     std::vector<Summary> m_orderSpans;
     Instant m_nextLine;
--- a/servers/control_thread.h
+++ b/servers/control_thread.h
@@ -2,6 +2,7 @@
 
 #include "control/reducer.h"
 #include "core/clock.h"
+#include "servers/event_costs.h"
 #include "servers/event_sink.h"
 #include "servers/work_queue.h"
 
@@ -11,8 +12,9 @@
 
 /**
  * Owns the control thread and its event queue. Passes events to the reducer in order of arrival and
- * the resulting effects to the effect handler. Only this thread accesses control state. Thread
- * safety: post from any thread.
+ * the resulting effects to the effect handler. Only this thread accesses control state. Reports
+ * once a second, as a Measured effect, how much time it has used by kind of event. Thread safety:
+ * post from any thread.
  */
 class ControlThread final : public EventSink, private ACE_Task_Base
 {
@@ -28,11 +30,15 @@
 
 private:
     int svc() override;
+    /** Reports the costs of the events if the last report is old enough. */
+    void reportCosts(Instant now);
 
     Reducer &m_reducer;
     const Clock &m_clock;
     EffectHandler *m_effects = nullptr;
     WorkQueue<EventPayload> m_queue;
+    EventCosts m_costs;
+    Instant m_nextCostReport;
 };
 
 } // namespace gentiancross
--- a/tests/servers/cell_metrics_test.cpp
+++ b/tests/servers/cell_metrics_test.cpp
@@ -100,3 +100,26 @@
     take(20'000, {tick});
     CHECK(log.lines.size() == 1);
 }
+
+// Guards against a profile that is lost, and against a log line every few seconds on a host where
+// only time passes.
+TEST_CASE("The control thread's time is exported, and logged only beside other changes")
+{
+    LogLineRecorder log;
+    CellMetrics metrics(log);
+    const Measurements times = {EventsHandled{EventKind::Advice, 3, Microseconds(70)},
+                                ProcessorUsed{ProcessorPart::Process, Microseconds(900)}};
+    metrics.carryOut(Measured{Instant(1), times});
+    CHECK(log.lines.empty());
+    const std::string text = metrics.text();
+    CHECK(has(text, R"(gentiancross_control_events_total{event="advice"} 3)"));
+    CHECK(has(text, R"(gentiancross_control_busy_microseconds_total{event="advice"} 70)"));
+    CHECK(has(text, R"(gentiancross_control_busy_microseconds_total{event="other"} 0)"));
+    CHECK(has(text, R"(gentiancross_processor_microseconds_total{part="process"} 900)"));
+    Measurements withOrder = times;
+    withOrder.emplace_back(OrderCounted{OrderKind::Start});
+    metrics.carryOut(Measured{Instant(10'000), withOrder});
+    REQUIRE(log.lines.size() == 1);
+    CHECK(log.lines[0].find("control_busy_microseconds_total{event=advice}=140")
+          != std::string::npos);
+}
