Measure a cell's leader under the heavy deployment's bursts

Seen: the benchmark of the leader had no load of the shape on which the leader is saturated, and did not count the calls to the adviser.

The adviser serves one call at a time for each calling host, and its calls and time are reported for each step started. The durations of runs belong to the shape; those of the former shapes are unchanged.

--- a/benchmarks/cell_load.cpp
+++ b/benchmarks/cell_load.cpp
@@ -16,8 +16,6 @@
 constexpr Milliseconds CommitTime{12};
 constexpr Milliseconds TickInterval{50};
 constexpr Milliseconds HeartbeatInterval{1500};
-constexpr Milliseconds ShortRun{800};
-constexpr Milliseconds LongRun{3800};
 constexpr Milliseconds TicketValidity{2500};
 constexpr double MillisecondsPerSecond = 1000.0;
 /** Fraction of the workers in an advice request that may run the step. */
@@ -144,9 +142,9 @@
     if (const auto *call = std::get_if<CallWorker>(&effect))
         schedule(RoundTrip, [this, call = *call] { deliverOrder(call); });
     else if (const auto *request = std::get_if<AdviceRequest>(&effect))
-        advise(*request);
+        advise(HostId("self"), *request);
     else if (auto *message = std::get_if<SendToPeer>(&effect))
-        advise(std::get<AdviceRequest>(message->message));
+        advise(message->to, std::get<AdviceRequest>(message->message));
 }
 
 void CellLoad::deliverOrder(const CallWorker &call)
@@ -179,10 +177,11 @@
 void CellLoad::startRun(Worker &worker, const OrderStart &order)
 {
     ++m_starts;
+    m_stepsStarted.insert(order.task.step);
     const JobId &job = order.task.step.job;
     m_waits.try_emplace(job, m_now - m_accepted.at(job));
     worker.running.insert_or_assign(order.task, order.run);
-    const Milliseconds mean = m_shortJobs.contains(job) ? ShortRun : LongRun;
+    const Milliseconds mean = m_shortJobs.contains(job) ? m_shape.shortRun : m_shape.longRun;
     const double factor = 0.5 + std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
     schedule(Milliseconds(std::int64_t(double(mean.value()) * factor)),
              [this, incarnation = worker.report.incarnation, task = order.task, run = order.run] {
@@ -213,7 +212,7 @@
     callLeader([&] { m_leader.receive(m_now, answer, m_out); });
 }
 
-void CellLoad::advise(const AdviceRequest &request)
+void CellLoad::advise(const HostId &host, const AdviceRequest &request)
 {
     const bool isShort = m_shortJobs.contains(request.step.job);
     const double fitFraction = isShort ? FitFractionShort : FitFractionLong;
@@ -224,7 +223,11 @@
     }
     const double scoringMs = double(request.workers.size()) * (isShort ? 0.28 : 5.3);
     const auto took = Milliseconds(std::int64_t((isShort ? 19.0 : 370.0) + scoringMs));
-    schedule(took,
+    ++m_adviserCalls;
+    m_adviserSeconds += double(took.value()) / MillisecondsPerSecond;
+    Instant &free = m_callerFree[host];
+    free = std::max(m_now, free) + took;
+    schedule(free - m_now,
              [this, response] { callLeader([&] { m_leader.receive(m_now, response, m_out); }); });
 }
 
@@ -241,7 +244,8 @@
 
 void CellLoad::scheduleArrival(bool isShort)
 {
-    const double perSecond = isShort ? m_shape.shortJobsPerSecond : m_shape.longJobsPerSecond;
+    const double perSecond
+            = m_rateFactor * (isShort ? m_shape.shortJobsPerSecond : m_shape.longJobsPerSecond);
     schedule(Milliseconds(std::int64_t(drawExponential(MillisecondsPerSecond / perSecond))),
              [this, isShort] {
                  constexpr std::uint64_t HashMultiplier = 0x9E3779B97F4A7C15ULL;
@@ -261,7 +265,7 @@
                      step.perTask.cores = MilliCores(isShort ? m_shape.shortMillicores
                                                              : m_shape.longMillicores);
                      step.perTask.memory = Mebibytes(100);
-                     step.estimate = isShort ? ShortRun : LongRun;
+                     step.estimate = isShort ? m_shape.shortRun : m_shape.longRun;
                      if (number > 0)
                          step.after = {std::uint32_t(number - 1)};
                      spec.steps.push_back(step);
--- a/benchmarks/cell_load.h
+++ b/benchmarks/cell_load.h
@@ -27,6 +27,8 @@
     /** Mean number of tasks in a step of a long job. */
     double longWidth = 13;
     std::int64_t longMillicores = 5500;
+    Milliseconds shortRun{800};
+    Milliseconds longRun{3800};
     /** Hosts that can call the adviser. */
     int callers = 10;
 };
@@ -43,10 +45,17 @@
     CellLoad(const CellShape &shape, std::uint32_t seed);
 
     void run(Milliseconds span);
+    /** Multiplies the rates of both kinds of jobs from now on. */
+    void setRateFactor(double factor) { m_rateFactor = factor; }
 
     [[nodiscard]] std::uint64_t starts() const { return m_starts; }
     /** Processor time that the leader has used. */
     [[nodiscard]] double busySeconds() const { return m_busySeconds; }
+    /** Number of steps of which a task has started. */
+    [[nodiscard]] std::size_t stepsStarted() const { return m_stepsStarted.size(); }
+    /** Calls to the adviser, and the time that it takes for them. */
+    [[nodiscard]] std::uint64_t adviserCalls() const { return m_adviserCalls; }
+    [[nodiscard]] double adviserSeconds() const { return m_adviserSeconds; }
     /** By short job, the time in milliseconds from acceptance to the first start, or until now. */
     [[nodiscard]] std::vector<double> waits() const;
 
@@ -85,7 +94,8 @@
     void startRun(Worker &worker, const OrderStart &order);
     void endRun(const WorkerIncarnation &incarnation, const JobTaskRef &task, RunNumber run);
     void answerRenewal(Worker &worker);
-    void advise(const AdviceRequest &request);
+    /** Answers a request that \a host passes on to the adviser. */
+    void advise(const HostId &host, const AdviceRequest &request);
     void sendHeartbeat(const WorkerIncarnation &incarnation);
     void scheduleArrival(bool isShort);
     [[nodiscard]] double drawExponential(double mean);
@@ -106,6 +116,12 @@
     std::uint64_t m_jobs = 0;
     std::uint64_t m_starts = 0;
     double m_busySeconds = 0.0;
+    double m_rateFactor = 1.0;
+    std::set<StepRef> m_stepsStarted;
+    std::uint64_t m_adviserCalls = 0;
+    double m_adviserSeconds = 0.0;
+    /** When the adviser has answered all calls of a host; it serves one at a time for each. */
+    std::map<HostId, Instant> m_callerFree;
 };
 
 } // namespace gentiancross::benchmarks
