Learn the speed of workers and place tasks by it

Operators of a cell whose workers run at 0.7 or 1.7 of the usual speed saw jobs that were short of time late, while fast workers ran tasks that had time. The planner packed by free capacity alone; WorkerPace only tells workers that take more than twice as long, from estimates that are off by up to 0.9.

SpeedLearner compares each completed run with similar ones (same image, else same step), takes the median over seconds for each worker, and keeps a class (slow, usual, fast) in each PooledWorker. Only completed runs count, so a worker whose runs fail fast is not taken for a fast one. State is bounded and only in the leader. SpeedCostPolicy adds the class as a cost to that of PackingCostPolicy, and the adviser is asked in the same order. The rule for workers that take more than twice as long stays in WorkerPace.

Evidence: tests without a network. In a cell in use by one job of two short tasks each half second that needs a fast worker, and three that have time, all of 100 such jobs end on time with SpeedCostPolicy, 50 with PackingCostPolicy.

Run: the tests of control/placement and those of control/jobs that were built (123 test cases, all passed).

--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -1,6 +1,7 @@
 #include "control/jobs/cell_leader.h"
 
 #include "control/jobs/heartbeat_check.h"
+#include "control/placement/speed_cost_policy.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -24,7 +25,7 @@
     , m_callHandler(m_store, *this)
     , m_admission(std::make_unique<DelayAdmission>(AdmissionSettings{.validity = OrderValidity}))
     , m_runs(m_options.fence, m_store, m_pool, m_advice, *m_admission, *this)
-    , m_planner(m_store, m_pool, m_advice, *m_admission, std::make_unique<PackingCostPolicy>(),
+    , m_planner(m_store, m_pool, m_advice, *m_admission, std::make_unique<SpeedCostPolicy>(),
                 std::make_unique<DeadlineStepOrder>())
 {
     m_loggedLimit = m_admission->limit();
@@ -84,6 +85,13 @@
     m_callHandler.recordBegun(task.step.job);
 }
 
+void CellLeader::onRunTimed(PooledWorker &worker, const JobTaskRef &task, const OpenRun &,
+                            Milliseconds taken)
+{
+    const StepSpec &step = m_store.jobs.at(task.step.job).spec.steps[task.step.step];
+    m_speeds.addRun(m_now, worker, task.step, step, taken);
+}
+
 void CellLeader::acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number)
 {
     m_decisions.acknowledgedEnds[incarnation] = number;
@@ -346,6 +354,7 @@
     beginDueOccurrences(wall);
     forgetExpiredJobs();
     m_runs.tick(now, out);
+    m_speeds.tick(now, m_pool, out);
     logAdmissionLimit(out);
     // Workers become usable again and tickets expire with time, without any event.
     m_planner.markChanged();
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -8,6 +8,7 @@
 #include "control/jobs/start_planner.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
+#include "control/placement/speed_learner.h"
 
 #include <deque>
 #include <map>
@@ -120,6 +121,8 @@
     void apply(JobRecord record) override;
     void answer(const CallOrigin &origin, CallAnswer answer) override;
     void onRunBegun(const JobTaskRef &task) override;
+    void onRunTimed(PooledWorker &worker, const JobTaskRef &task, const OpenRun &run,
+                    Milliseconds taken) override;
     void acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number) override;
     void onWorkerUsable() override { m_planner.markChanged(); }
 
@@ -168,6 +171,7 @@
     std::unique_ptr<StartAdmission> m_admission;
     /** The limit of concurrent starts that was logged last. */
     std::size_t m_loggedLimit = 0;
+    SpeedLearner m_speeds;
     RunTracker m_runs;
     StartPlanner m_planner;
     DecisionBatch m_decisions;
--- a/control/jobs/run_end_recorder.cpp
+++ b/control/jobs/run_end_recorder.cpp
@@ -180,11 +180,16 @@
         return;
     const StepSpec &step = m_store.jobs.at(end.task.step.job).spec.steps[end.task.step.step];
     // The time of best-effort runs depends on the load that other runs cause.
-    if (step.estimate <= Milliseconds(0) || step.isBestEffort || step.isLongRunning)
+    if (step.isBestEffort || step.isLongRunning)
         return;
     const Milliseconds taken = now - *run->second.startedAt;
-    worker.pace.addRun(taken, step.estimate);
-    m_pool.averagePace().addRun(taken, step.estimate);
+    if (step.estimate > Milliseconds(0)) {
+        worker.pace.addRun(taken, step.estimate);
+        m_pool.averagePace().addRun(taken, step.estimate);
+    }
+    const bool mayHaveResumed = step.checkpoints && end.run != RunNumber(1);
+    if (!step.isGang && !mayHaveResumed)
+        m_results.onRunTimed(worker, end.task, run->second, taken);
 }
 
 } // namespace gentiancross
--- a/control/jobs/run_result_handler.h
+++ b/control/jobs/run_result_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/jobs/worker_pool.h"
 #include "core/job_records.h"
 
 namespace gentiancross {
@@ -17,6 +18,12 @@
     virtual void apply(JobRecord record) = 0;
     /** A worker has confirmed that a run of \a task has begun. */
     virtual void onRunBegun(const JobTaskRef &task) = 0;
+    /** The worker has completed \a run of \a task in \a taken, from its first order to its listed
+     * end. The run is still open, and alone determined that time: it is no member of a gang, and
+     * uses neither a checkpoint nor what others leave. */
+    virtual void onRunTimed(PooledWorker &worker, const JobTaskRef &task, const OpenRun &run,
+                            Milliseconds taken)
+            = 0;
     /** Acknowledges the ends up to \a number, all of which were applied: the worker may forget them
      * once they are durable. */
     virtual void acknowledgeEnds(const WorkerIncarnation &incarnation, CompletionNumber number) = 0;
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -136,7 +136,7 @@
     // Further tickets would not let it start any earlier.
     if (isHeldBack && hasRoomWithTickets(now, ready.step, job, idle.size()))
         return;
-    requestAdvice(now, ready.step, job, out);
+    requestAdvice(now, ready, job, out);
 }
 
 bool StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
@@ -144,13 +144,15 @@
 {
     const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
+    const PlacementPreference preference = m_costPolicy->preferenceOf(now, ready, step);
     for (const std::uint32_t index : idleTasks(ref, ready.reason, job)) {
         if (!m_usage.isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
             return true;
         const TaskProgress &task = job.occurrences.at(ref.occurrence).steps[ref.step][index];
         // Running it on another worker shows whether the task or the worker is at fault.
         const WorkerIncarnation *const failedOn = task.failures > 0 ? &task.worker : nullptr;
-        const PooledWorker *const worker = choose(now, ref, job, {nullptr, failedOn, {}});
+        const PooledWorker *const worker
+                = choose(now, ref, job, {nullptr, failedOn, {}, preference});
         if (worker == nullptr)
             return false;
         const WorkerIncarnation incarnation = worker->report.incarnation;
@@ -184,9 +186,9 @@
     if (step.prefersOneRack) {
         for (const auto &[rack, members] : roomByRack)
             isPlaced = isPlaced
-                    || (members >= step.count && placeGang(now, ref, job, &rack, places));
+                    || (members >= step.count && placeGang(now, ready, job, &rack, places));
     }
-    if (!isPlaced && !placeGang(now, ref, job, nullptr, places))
+    if (!isPlaced && !placeGang(now, ready, job, nullptr, places))
         return false;
     // A gang is never split, even if it exceeds the remaining starts.
     m_startsLeft -= std::min<std::size_t>(m_startsLeft, step.count);
@@ -252,14 +254,16 @@
     return false;
 }
 
-bool StartPlanner::placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
-                             std::vector<WorkerIncarnation> &places)
+bool StartPlanner::placeGang(Instant now, const ReadyStep &ready, const Job &job,
+                             const RackId *rack, std::vector<WorkerIncarnation> &places)
 {
+    const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
+    const PlacementPreference preference = m_costPolicy->preferenceOf(now, ready, step);
     std::map<WorkerIncarnation, std::uint32_t> planned;
     places.clear();
     while (places.size() < step.count) {
-        PooledWorker *const worker = choose(now, ref, job, {rack, nullptr, planned});
+        PooledWorker *const worker = choose(now, ref, job, {rack, nullptr, planned, preference});
         if (worker == nullptr)
             break;
         places.push_back(worker->report.incarnation);
@@ -319,7 +323,8 @@
         if (here >= step.maxPerWorker)
             return std::nullopt;
     }
-    std::int64_t cost = m_costPolicy->cost(worker, step);
+    std::int64_t cost = m_costPolicy->cost(worker, step)
+            + m_costPolicy->preferenceCost(worker, constraints.preference);
     if (isSlow(worker.pace, m_pool.averagePace()))
         cost += SlowWorkerCost;
     if (constraints.failedOn != nullptr && *constraints.failedOn == incarnation)
@@ -327,11 +332,13 @@
     return cost;
 }
 
-void StartPlanner::requestAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out)
+void StartPlanner::requestAdvice(Instant now, const ReadyStep &ready, const Job &job, Outbox &out)
 {
+    const StepRef &ref = ready.step;
     if (!m_advice.canQuery(now, ref, *job.terms.advice))
         return;
     const StepSpec &step = job.spec.steps[ref.step];
+    const PlacementPreference preference = m_costPolicy->preferenceOf(now, ready, step);
     const Advice advice = m_advice.adviceFor(now, ref);
     std::vector<std::pair<std::int64_t, WorkerId>> candidates;
     for (const auto &[incarnation, worker] : m_pool.all()) {
@@ -344,7 +351,9 @@
         const bool slow = isSlow(worker.pace, m_pool.averagePace());
         const std::int64_t unfit = (canRunOn(worker, step) ? 0 : 1) + (slow ? 2 : 0);
         constexpr std::int64_t Rank = 1'000'000'000;
-        candidates.emplace_back((far + unfit) * Rank - worker.freeCapacity().cores.value(),
+        candidates.emplace_back((far + unfit) * Rank
+                                        + m_costPolicy->preferenceCost(worker, preference)
+                                        - worker.freeCapacity().cores.value(),
                                 incarnation.worker);
     }
     if (candidates.empty())
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -81,6 +81,7 @@
         const WorkerIncarnation *failedOn = nullptr;
         /** Tasks of the same step already placed in this gang, by worker. */
         std::map<WorkerIncarnation, std::uint32_t> planned;
+        PlacementPreference preference;
     };
 
     void planStep(Instant now, const ReadyStep &ready, AdviceLookahead &lookahead,
@@ -100,9 +101,9 @@
                                                                const StepSpec &step);
     /** False once the admission allows no more starts in this plan. */
     bool isAdmitted();
-    bool placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
+    bool placeGang(Instant now, const ReadyStep &ready, const Job &job, const RackId *rack,
                    std::vector<WorkerIncarnation> &places);
-    void requestAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out);
+    void requestAdvice(Instant now, const ReadyStep &ready, const Job &job, Outbox &out);
     [[nodiscard]] PooledWorker *choose(Instant now, const StepRef &ref, const Job &job,
                                        const PlacementConstraints &constraints);
     /** Cost of running the step's next task on \a worker; nullopt if it may not run there. */
--- a/control/jobs/start_policy.h
+++ b/control/jobs/start_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/jobs/worker_pool.h"
+#include "control/placement/placement_preference.h"
 
 #include <vector>
 
@@ -105,6 +106,23 @@
     /** Lower is better. Precondition: the task fits on the worker. */
     [[nodiscard]] virtual std::int64_t cost(const PooledWorker &worker,
                                             const StepSpec &step) const = 0;
+    /** What the tasks of \a step, which \a ready ranks, prefer as of \a now. */
+    [[nodiscard]] virtual PlacementPreference preferenceOf(Instant now, const ReadyStep &ready,
+                                                           const StepSpec &step) const
+    {
+        static_cast<void>(now);
+        static_cast<void>(ready);
+        static_cast<void>(step);
+        return {};
+    }
+    /** Added to `cost` and to the order in which the adviser is asked; lower is better. */
+    [[nodiscard]] virtual std::int64_t preferenceCost(const PooledWorker &worker,
+                                                      const PlacementPreference &preference) const
+    {
+        static_cast<void>(worker);
+        static_cast<void>(preference);
+        return 0;
+    }
 };
 
 /**
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -3,6 +3,7 @@
 #include "control/jobs/capacity_index.h"
 #include "control/jobs/start_copies.h"
 #include "control/jobs/worker_pace.h"
+#include "control/placement/worker_speed.h"
 #include "core/job_calls.h"
 
 #include <algorithm>
@@ -157,6 +158,7 @@
     JobId lastFailedJob;
     Instant avoidUntil;
     WorkerPace pace;
+    WorkerSpeed speed;
 
     /** True if the worker is only asked for its lists: it gets no run and no lease, and no end is
      * acknowledged, since the next incarnation would take each of these as its own. */
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -86,6 +86,8 @@
     LeaseWithheld,
     /** A best-effort run was stopped, so that a task with a latency target finds a worker. */
     BestEffortEvicted,
+    /** A worker was found to be faster or slower than the others, or no longer. */
+    SpeedClassChanged,
 };
 
 /** Time spans that are measured. */
