--- a/tests/control/placement/placement_cell.cpp
+++ b/tests/control/placement/placement_cell.cpp
@@ -58,7 +58,9 @@
     const Milliseconds taken = m_now - start.at;
     runsOn.pace.addRun(taken, step.estimate);
     m_pool.averagePace().addRun(taken, step.estimate);
-    m_speeds.addRun(m_now, runsOn, ref, step, taken);
+    // The members of a gang end together.
+    if (!step.isGang)
+        m_speeds.addRun(m_now, runsOn, ref, step, taken);
     const RunNumber run = jobstore::find(m_store, start.task)->lastRun;
     jobstore::apply(m_store, RunEnded{start.task, run, RunEnding::Done, {}}, this);
 }
