Bound what incoming connections of a process hold

What operators saw: clients that leave bodies unfinished, send far too much or keep connections open ended an entry host, which ran out of memory.

Cause: each HTTP listener accepted up to 4,096 connections and collected bodies of up to 8 MiB (32 MiB between hosts) without a sum over connections. Answers were copied for each connection until they were read. The secret between hosts was checked only after the body had been read.

Change: a ConnectionBudget is shared by all listeners of a process. It counts connections, header fields, body capacity until the request is decided, and answers until they are read. If the memory or connections of the settings are exceeded, an EvictionPolicy chooses what is closed: the client address that holds most, and of it what has held most for longest. Requests that were handed on and connections of other hosts are never closed. Bodies over the limit are refused or discarded without being held; a wrong secret between hosts is refused before the body. Limits are derived from limits.memory_mb and limits.max_fds and can be set. Counters are on the metrics address, and a log line is written at most every 5 s.

--- a/drivers/http_listener.cpp
+++ b/drivers/http_listener.cpp
@@ -1,6 +1,10 @@
 #include "drivers/http_listener.h"
 
 #include "core/error.h"
+#include "drivers/system_clock.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -11,19 +15,29 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <utility>
 
 namespace gentiancross {
 
 namespace {
 
-constexpr unsigned int MaxConnections = 4096;
+/** Above the budget's limit, so that the budget chooses what is closed before the library stops
+ * accepting connections. */
+constexpr std::size_t SpareConnections = 64;
 constexpr unsigned int IdleTimeoutSeconds = 120;
-/** Allocated for each open connection; limits the size of the request headers. */
-constexpr std::size_t ConnectionMemoryBytes = 8 << 10;
 constexpr std::chrono::seconds FlushTimeout{5};
 constexpr int PayloadTooLarge = 413;
+constexpr int ServiceUnavailable = 503;
+/** A body of a declared length starts with at most this capacity, since the rest may never come. */
+constexpr std::size_t InitialBodyBytes = 64 << 10;
+/** What a header field costs in a map, beyond its text. */
+constexpr std::size_t HeaderFieldBytes = 128;
+/** Of a body that is too large, as much as this times the limit is discarded before the connection
+ * is closed: a client that sends its body before it reads would not see an earlier refusal. */
+constexpr std::size_t DiscardFactor = 2;
 
 std::string lowerCase(std::string text)
 {
@@ -47,14 +61,72 @@
     return MHD_YES;
 }
 
+std::size_t headBytes(const HttpRequest &request)
+{
+    std::size_t bytes = request.path.size();
+    for (const auto *fields : {&request.headers, &request.query}) {
+        for (const auto &[name, value] : *fields)
+            bytes += HeaderFieldBytes + name.size() + value.size();
+    }
+    return bytes;
+}
+
+HttpResponse makeRefusal(int status, const std::string &message)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/problem+json";
+    response.body = std::make_shared<const std::string>(
+            absl::StrCat(R"({"step":"decode","message":")", message, R"(","outcome":"not run"})"));
+    return response;
+}
+
+/** An accepted socket, which the budget may shut down; the library then closes it. */
+class AcceptedConnection final : public ClosableConnection
+{
+public:
+    explicit AcceptedConnection(int socket)
+        : m_socket(socket)
+    {}
+
+    void abort() override { ::shutdown(m_socket, SHUT_RDWR); }
+
+    [[nodiscard]] ConnectionId id() const { return m_id; }
+    void setId(ConnectionId id) { m_id = id; }
+
+private:
+    int m_socket;
+    ConnectionId m_id;
+};
+
+std::string clientAddressOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *const info
+            = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    std::string text(INET_ADDRSTRLEN, '\0');
+    if (info == nullptr || info->client_addr == nullptr || info->client_addr->sa_family != AF_INET)
+        return std::string();
+    const auto *const address = reinterpret_cast<const sockaddr_in *>(info->client_addr);
+    ::inet_ntop(AF_INET, &address->sin_addr, text.data(), INET_ADDRSTRLEN);
+    return text.c_str();
+}
+
+ConnectionId connectionIdOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *const info
+            = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return static_cast<const AcceptedConnection *>(info->socket_context)->id();
+}
+
 } // namespace
 
 class HttpListener::Implementation
 {
 public:
-    Implementation(HttpHandler &handler, std::size_t maxBodyBytes)
+    Implementation(HttpHandler &handler, std::size_t maxBodyBytes, ConnectionBudget &budget)
         : m_handler(handler)
         , m_maxBodyBytes(maxBodyBytes)
+        , m_budget(budget)
     {}
 
     absl::Status start(const std::string &ip, std::uint16_t port);
@@ -65,7 +137,12 @@
     struct Exchange
     {
         HttpToken token = 0;
+        ConnectionId connection;
         HttpRequest request;
+        std::size_t headBytes = 0;
+        /** As the client declared it; 0 for a chunked body. */
+        std::size_t declaredBytes = 0;
+        std::size_t receivedBytes = 0;
         bool isTooLarge = false;
         bool isDispatched = false;
     };
@@ -81,14 +158,22 @@
                                size_t *size, void **context);
     static void onCompleted(void *self, MHD_Connection *connection, void **context,
                             MHD_RequestTerminationCode code);
+    static void onConnection(void *self, MHD_Connection *connection, void **context,
+                             MHD_ConnectionNotificationCode code);
+    [[nodiscard]] HttpResponse bodyTooLarge() const;
+    MHD_Result receive(Exchange &exchange, const char *data, std::size_t size);
+    /** Reserves capacity for the body; false if the budget does not allow it. */
+    bool reserve(Exchange &exchange, std::size_t bytes);
     MHD_Result beginRequest(MHD_Connection *connection, const char *url, const char *method,
                             void **context);
     MHD_Result dispatch(MHD_Connection *connection, Exchange &exchange);
     MHD_Result sendResponse(MHD_Connection *connection, const Exchange &exchange);
-    static MHD_Result queueResponse(MHD_Connection *connection, const HttpResponse &response);
+    MHD_Result queueResponse(MHD_Connection *connection, const HttpResponse &response);
 
     HttpHandler &m_handler;
     std::size_t m_maxBodyBytes;
+    ConnectionBudget &m_budget;
+    const SystemClock m_clock;
     MHD_Daemon *m_daemon = nullptr;
     std::mutex m_mutex;
     HttpToken m_nextToken = 1;
@@ -113,9 +198,11 @@
                     | MHD_USE_SUPPRESS_DATE_NO_CLOCK,
             port, nullptr, nullptr, &Implementation::onAccess, this, MHD_OPTION_SOCK_ADDR,
             reinterpret_cast<sockaddr *>(&address), MHD_OPTION_NOTIFY_COMPLETED,
-            &Implementation::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, MaxConnections,
+            &Implementation::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+            &Implementation::onConnection, this, MHD_OPTION_CONNECTION_LIMIT,
+            static_cast<unsigned int>(m_budget.limits().connections + SpareConnections),
             MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutSeconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-            ConnectionMemoryBytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+            ConnectionPoolBytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (m_daemon == nullptr)
         return makeError(absl::StatusCode::kUnavailable, Step::Network, peer,
                          "cannot listen: the address is in use or not this host's");
@@ -130,14 +217,8 @@
     if (*context == nullptr)
         return implementation->beginRequest(connection, url, method, context);
     auto &exchange = *static_cast<Exchange *>(*context);
-    if (*size > 0) {
-        exchange.isTooLarge = exchange.isTooLarge
-                || exchange.request.body.size() + *size > implementation->m_maxBodyBytes;
-        if (!exchange.isTooLarge)
-            exchange.request.body.append(data, *size);
-        *size = 0;
-        return MHD_YES;
-    }
+    if (*size > 0)
+        return implementation->receive(exchange, data, std::exchange(*size, 0));
     if (exchange.isDispatched)
         return implementation->sendResponse(connection, exchange);
     return implementation->dispatch(connection, exchange);
@@ -146,28 +227,101 @@
 MHD_Result HttpListener::Implementation::beginRequest(MHD_Connection *connection, const char *url,
                                                       const char *method, void **context)
 {
-    auto exchange = std::make_unique<Exchange>();
-    exchange->request.method = method;
-    exchange->request.path = url;
-    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader,
-                              &exchange->request.headers);
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery,
-                              &exchange->request.query);
-    *context = exchange.release(); // Deleted in onCompleted.
+    *context = new Exchange; // Deleted in onCompleted.
+    auto &exchange = *static_cast<Exchange *>(*context);
+    HttpRequest &request = exchange.request;
+    request.method = method;
+    request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &request.query);
+    exchange.connection = connectionIdOf(connection);
+    exchange.headBytes = headBytes(request);
+    m_budget.enter(exchange.connection, ConnectionPhase::Receiving, m_clock.now());
+    HeadVerdict verdict = m_handler.inspectHead(request);
+    if (verdict.isTrusted)
+        m_budget.trust(exchange.connection);
+    if (verdict.refusal.has_value()) {
+        m_budget.count(TurnedAway::Secret);
+        return queueResponse(connection, *verdict.refusal);
+    }
+    // The library has refused lengths that are no numbers.
+    if (!absl::SimpleAtoi(request.header("content-length"), &exchange.declaredBytes))
+        exchange.declaredBytes = 0;
+    if (exchange.declaredBytes > m_maxBodyBytes) {
+        m_budget.count(TurnedAway::BodySize);
+        exchange.isTooLarge = true;
+        if (exchange.declaredBytes > DiscardFactor * m_maxBodyBytes
+            || !request.header("expect").empty())
+            return queueResponse(connection, bodyTooLarge());
+        return MHD_YES;
+    }
+    if (reserve(exchange, std::min(exchange.declaredBytes, InitialBodyBytes)))
+        return MHD_YES;
+    HttpResponse busy = makeRefusal(ServiceUnavailable, "the host has no memory for the request");
+    busy.headers["Retry-After"] = "1";
+    return queueResponse(connection, busy);
+}
+
+HttpResponse HttpListener::Implementation::bodyTooLarge() const
+{
+    return makeRefusal(PayloadTooLarge,
+                       absl::StrCat("the body is larger than ", m_maxBodyBytes, " bytes"));
+}
+
+bool HttpListener::Implementation::reserve(Exchange &exchange, std::size_t bytes)
+{
+    std::string &body = exchange.request.body;
+    body.reserve(bytes);
+    return m_budget.hold(exchange.connection, exchange.headBytes + body.capacity(), m_clock.now());
+}
+
+MHD_Result HttpListener::Implementation::receive(Exchange &exchange, const char *data,
+                                                 std::size_t size)
+{
+    std::string &body = exchange.request.body;
+    exchange.receivedBytes += size;
+    if (!exchange.isTooLarge && exchange.receivedBytes > m_maxBodyBytes) {
+        exchange.isTooLarge = true;
+        m_budget.count(TurnedAway::BodySize);
+        body = std::string();
+        reserve(exchange, 0);
+    }
+    if (exchange.isTooLarge)
+        return exchange.receivedBytes > DiscardFactor * m_maxBodyBytes ? MHD_NO : MHD_YES;
+    if (exchange.receivedBytes > body.capacity()) {
+        const std::size_t limit
+                = exchange.declaredBytes > 0 ? exchange.declaredBytes : m_maxBodyBytes;
+        const std::size_t doubled = std::min(2 * body.capacity(), limit);
+        if (!reserve(exchange, std::max(doubled, exchange.receivedBytes)))
+            return MHD_NO;
+    }
+    body.append(data, size);
     return MHD_YES;
 }
 
-MHD_Result HttpListener::Implementation::dispatch(MHD_Connection *connection, Exchange &exchange)
+void HttpListener::Implementation::onConnection(void *self, MHD_Connection *connection,
+                                                void **context, MHD_ConnectionNotificationCode code)
 {
-    if (exchange.isTooLarge) {
-        HttpResponse response;
-        response.status = PayloadTooLarge;
-        response.headers["Content-Type"] = "application/problem+json";
-        response.body = std::make_shared<const std::string>(
-                R"({"step":"decode","message":"the body is larger than )"
-                + std::to_string(m_maxBodyBytes) + R"( bytes","outcome":"not run"})");
-        return queueResponse(connection, response);
+    auto *const implementation = static_cast<Implementation *>(self);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const MHD_ConnectionInfo *const info
+                = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        auto accepted = std::make_unique<AcceptedConnection>(info->connect_fd);
+        accepted->setId(implementation->m_budget.add(clientAddressOf(connection), *accepted,
+                                                     implementation->m_clock.now()));
+        *context = accepted.release(); // Deleted when the library closes the connection.
+        return;
     }
+    // The library closes the socket after this call, so the budget never shuts down another one.
+    const std::unique_ptr<AcceptedConnection> accepted(static_cast<AcceptedConnection *>(*context));
+    implementation->m_budget.remove(accepted->id());
+}
+
+MHD_Result HttpListener::Implementation::dispatch(MHD_Connection *connection, Exchange &exchange)
+{
+    if (exchange.isTooLarge)
+        return queueResponse(connection, bodyTooLarge());
+    m_budget.enter(exchange.connection, ConnectionPhase::Deciding, m_clock.now());
     exchange.isDispatched = true;
     {
         const std::lock_guard lock(m_mutex);
@@ -204,8 +358,18 @@
                                                        const HttpResponse &response)
 {
     const std::size_t size = response.body == nullptr ? 0 : response.body->size();
-    void *const data = size == 0 ? nullptr : const_cast<char *>(response.body->data());
-    MHD_Response *const raw = MHD_create_response_from_buffer(size, data, MHD_RESPMEM_MUST_COPY);
+    const ConnectionId id = connectionIdOf(connection);
+    m_budget.enter(id, ConnectionPhase::Answering, m_clock.now());
+    if (!m_budget.hold(id, size, m_clock.now()))
+        return MHD_NO;
+    // The library keeps a reference to the body instead of a copy.
+    auto body = std::make_unique<Body>(response.body);
+    MHD_Response *const raw = MHD_create_response_from_buffer_with_free_callback_cls(
+            size, size == 0 ? nullptr : const_cast<char *>(response.body->data()),
+            [](void *held) { delete static_cast<Body *>(held); }, body.get());
+    if (raw == nullptr)
+        return MHD_NO;
+    body.release(); // Deleted by the callback.
     for (const auto &[name, value] : response.headers)
         MHD_add_response_header(raw, name.c_str(), value.c_str());
     const MHD_Result result
@@ -220,7 +384,12 @@
     auto *const implementation = static_cast<Implementation *>(self);
     const std::unique_ptr<Exchange> exchange(static_cast<Exchange *>(*context));
     *context = nullptr;
-    if (exchange == nullptr || !exchange->isDispatched)
+    if (exchange == nullptr)
+        return;
+    const Instant now = implementation->m_clock.now();
+    implementation->m_budget.enter(exchange->connection, ConnectionPhase::Idle, now);
+    implementation->m_budget.hold(exchange->connection, 0, now);
+    if (!exchange->isDispatched)
         return;
     {
         const std::lock_guard lock(implementation->m_mutex);
@@ -264,8 +433,13 @@
     m_daemon = nullptr;
 }
 
+HttpListener::HttpListener(HttpHandler &handler, std::size_t maxBodyBytes, ConnectionBudget &budget)
+    : m_implementation(std::make_unique<Implementation>(handler, maxBodyBytes, budget))
+{}
+
 HttpListener::HttpListener(HttpHandler &handler, std::size_t maxBodyBytes)
-    : m_implementation(std::make_unique<Implementation>(handler, maxBodyBytes))
+    : m_ownBudget(std::make_unique<ConnectionBudget>(deriveConnectionLimits()))
+    , m_implementation(std::make_unique<Implementation>(handler, maxBodyBytes, *m_ownBudget))
 {}
 
 HttpListener::~HttpListener()
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -12,6 +12,7 @@
 #include "platform/cell_frontend.h"
 #include "platform/worker_caller.h"
 #include "servers/cell_metrics.h"
+#include "servers/connection_monitor.h"
 #include "servers/control_thread.h"
 #include "servers/effect_router.h"
 #include "servers/journal_writer.h"
@@ -55,8 +56,10 @@
 class CellMainLoopHandler final : public MainLoopHandler
 {
 public:
-    CellMainLoopHandler(EventSink &events, platform::CellFrontend &frontend, std::string bootPath)
+    CellMainLoopHandler(EventSink &events, platform::CellFrontend &frontend,
+                        ConnectionMonitor &connections, std::string bootPath)
         : m_events(events)
+        , m_connections(connections)
         , m_frontend(frontend)
         , m_bootPath(std::move(bootPath))
         , m_modifiedAt(modificationTime())
@@ -65,6 +68,7 @@
     void handleTick() override
     {
         m_events.post(Ticked{});
+        m_connections.tick();
         if (++m_ticks % TicksPerFileCheck == 0 && modificationTime() != m_modifiedAt)
             reloadBootSettings();
     }
@@ -99,6 +103,7 @@
     }
 
     EventSink &m_events;
+    ConnectionMonitor &m_connections;
     platform::CellFrontend &m_frontend;
     std::string m_bootPath;
     std::pair<time_t, long> m_modifiedAt;
@@ -149,10 +154,12 @@
     CellMetrics cellMetrics(log);
     HttpClient client(MaxConnectionsPerWorker);
     PeerLink peers({makeHostId(boot.ip, boot), {}, settings.fleetSecret, true}, control);
-    PeerListener peerListener(peers, settings.fleetSecret);
+    ConnectionBudget connections(boot.connections);
+    ConnectionMonitor connectionMonitor(connections, clock);
+    PeerListener peerListener(peers, settings.fleetSecret, connections);
     platform::WorkerCaller workers(client, clock, control, boot.adviserAddress);
-    platform::CellFrontend frontend(boot, clock, control, metrics, cellMetrics);
-    CellMainLoopHandler handler(control, frontend, settings.bootPath);
+    platform::CellFrontend frontend(boot, clock, control, metrics, cellMetrics, connections);
+    CellMainLoopHandler handler(control, frontend, connectionMonitor, settings.bootPath);
     MainLoop mainLoop(handler);
     EffectRouter router({frontend, peers, workers,
                          boot.dataFolder.empty() ? nullptr : &journalWriter,
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -9,6 +9,7 @@
 #include "drivers/random.h"
 #include "drivers/system_clock.h"
 #include "main/host_store.h"
+#include "servers/connection_monitor.h"
 #include "servers/control_thread.h"
 #include "servers/effect_router.h"
 #include "servers/http_frontend.h"
@@ -29,15 +30,22 @@
 class EntryMainLoopHandler final : public MainLoopHandler
 {
 public:
-    explicit EntryMainLoopHandler(EventSink &events)
+    EntryMainLoopHandler(EventSink &events, ConnectionMonitor &connections)
         : m_events(events)
+        , m_connections(connections)
     {}
 
-    void handleTick() override { m_events.post(Ticked{}); }
+    void handleTick() override
+    {
+        m_events.post(Ticked{});
+        m_connections.tick();
+    }
+
     void handleSignal(int) override { m_events.post(ShutdownRequested{}); }
 
 private:
     EventSink &m_events;
+    ConnectionMonitor &m_connections;
 };
 
 HostReducerOptions makeReducerOptions(const ServeSettings &settings, const Identity &identity)
@@ -71,9 +79,11 @@
     HttpClient client;
     PeerLink peers(settings.peers, control);
     StartOrderSender startOrders(client, clock, control);
-    HttpFrontend frontend(settings.frontend, settings.peers, client, peers, clock, control,
-                          metrics);
-    EntryMainLoopHandler handler(control);
+    ConnectionBudget connections(deriveConnectionLimits());
+    ConnectionMonitor connectionMonitor(connections, clock);
+    HttpFrontend frontend(settings.frontend, settings.peers, client, peers, clock, control, metrics,
+                          connections);
+    EntryMainLoopHandler handler(control, connectionMonitor);
     MainLoop mainLoop(handler);
     EffectRouter router({frontend, peers, startOrders,
                          settings.dataFolder.empty() ? nullptr : &journalWriter,
--- /dev/null
+++ b/servers/connection_monitor.cpp
@@ -0,0 +1,62 @@
+#include "servers/connection_monitor.h"
+
+#include "drivers/log.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace gentiancross {
+
+namespace {
+
+constexpr Milliseconds CheckInterval{1000};
+constexpr Milliseconds LogInterval{5000};
+
+} // namespace
+
+std::string connectionMetricsText(const ConnectionBudget &budget)
+{
+    const ConnectionTotals totals = budget.totals();
+    std::string text
+            = absl::StrCat("# TYPE gentiancross_connections gauge\n", "gentiancross_connections ",
+                           totals.connections, "\n# TYPE gentiancross_connection_bytes gauge\n",
+                           "gentiancross_connection_bytes ", totals.bytes,
+                           "\n# TYPE gentiancross_turned_away_total counter\n");
+    for (std::size_t reason = 0; reason < TurnedAwayReasons; ++reason)
+        absl::StrAppend(&text, "gentiancross_turned_away_total{reason=\"",
+                        turnedAwayName(static_cast<TurnedAway>(reason)), "\"} ",
+                        totals.turnedAway.at(reason), "\n");
+    return text;
+}
+
+ConnectionMonitor::ConnectionMonitor(ConnectionBudget &budget, const Clock &clock)
+    : m_budget(budget)
+    , m_clock(clock)
+{}
+
+void ConnectionMonitor::tick()
+{
+    const Instant now = m_clock.now();
+    if (now < m_nextCheck)
+        return;
+    m_nextCheck = now + CheckInterval;
+    m_budget.closeOverdue(now);
+    logChanges(now);
+}
+
+void ConnectionMonitor::logChanges(Instant now)
+{
+    const ConnectionTotals totals = m_budget.totals();
+    if (now < m_nextLine || totals.turnedAway == m_logged.turnedAway)
+        return;
+    std::string line = "clients turned away:";
+    for (std::size_t reason = 0; reason < TurnedAwayReasons; ++reason)
+        absl::StrAppend(&line, " ", turnedAwayName(static_cast<TurnedAway>(reason)), "=",
+                        totals.turnedAway.at(reason) - m_logged.turnedAway.at(reason));
+    absl::StrAppend(&line, " held_bytes=", totals.bytes, " limit_bytes=", m_budget.limits().bytes,
+                    " open=", totals.connections, " limit_open=", m_budget.limits().connections);
+    logWarning("connections", line);
+    m_logged = totals;
+    m_nextLine = now + LogInterval;
+}
+
+} // namespace gentiancross
--- a/servers/http_frontend.cpp
+++ b/servers/http_frontend.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "drivers/random.h"
 #include "servers/answer_encoder.h"
+#include "servers/connection_monitor.h"
 #include "servers/request_decoder.h"
 
 #include <absl/strings/str_split.h>
@@ -75,14 +76,20 @@
 class HttpFrontend::Endpoint final : public HttpHandler
 {
 public:
-    Endpoint(HttpFrontend &frontend, bool isPeerEndpoint)
+    Endpoint(HttpFrontend &frontend, bool isPeerEndpoint, ConnectionBudget &budget)
         : m_frontend(frontend)
         , m_isPeerEndpoint(isPeerEndpoint)
         , m_listener(*this,
                      isPeerEndpoint ? HttpListener::MaxPeerBodyBytes
-                                    : HttpListener::MaxCallerBodyBytes)
+                                    : HttpListener::MaxCallerBodyBytes,
+                     budget)
     {}
 
+    HeadVerdict inspectHead(const HttpRequest &head) override
+    {
+        return m_frontend.inspectHead(*this, head);
+    }
+
     void handleRequest(HttpToken token, HttpRequest request) override
     {
         m_frontend.handleRequest(*this, token, std::move(request));
@@ -101,7 +108,7 @@
 
 HttpFrontend::HttpFrontend(FrontendAddresses addresses, PeerAddresses peers, HttpClient &client,
                            PeerLink &peerLink, const Clock &clock, EventSink &events,
-                           Metrics &metrics)
+                           Metrics &metrics, ConnectionBudget &budget)
     : m_addresses(std::move(addresses))
     , m_peers(std::move(peers))
     , m_client(client)
@@ -109,8 +116,9 @@
     , m_clock(clock)
     , m_events(events)
     , m_metrics(metrics)
-    , m_callerEndpoint(std::make_unique<Endpoint>(*this, false))
-    , m_peerEndpoint(std::make_unique<Endpoint>(*this, true))
+    , m_budget(budget)
+    , m_callerEndpoint(std::make_unique<Endpoint>(*this, false, budget))
+    , m_peerEndpoint(std::make_unique<Endpoint>(*this, true, budget))
 {}
 
 HttpFrontend::~HttpFrontend() = default;
@@ -130,29 +138,32 @@
     m_peerEndpoint->listener().stop();
 }
 
+HeadVerdict HttpFrontend::inspectHead(const Endpoint &endpoint, const HttpRequest &head) const
+{
+    if (!endpoint.isPeerEndpoint())
+        return {};
+    if (isSameSecret(head.header(SecretHeader), m_peers.fleetSecret))
+        return {std::nullopt, true};
+    return {textResponse(HttpForbidden, "the fleet's secret is wrong\n"), false};
+}
+
 bool HttpFrontend::tryAnswerDirectly(Endpoint &endpoint, HttpToken token,
                                      const HttpRequest &request)
 {
-    if (endpoint.isPeerEndpoint()) {
-        if (!isSameSecret(request.header(SecretHeader), m_peers.fleetSecret)) {
-            endpoint.listener().respond(
-                    token, textResponse(HttpForbidden, "the fleet's secret is wrong\n"));
-            return true;
-        }
-        if (request.path == "/rpc") {
-            endpoint.listener().respond(
-                    token,
-                    textResponse(200, m_peerLink.dispatch(request.body), "application/json"));
-            return true;
-        }
+    if (endpoint.isPeerEndpoint() && request.path == "/rpc") {
+        endpoint.listener().respond(
+                token, textResponse(200, m_peerLink.dispatch(request.body), "application/json"));
+        return true;
     }
     if (request.path == "/healthz") {
         endpoint.listener().respond(token, textResponse(200, "alive\n"));
         return true;
     }
     if (request.path == "/metrics") {
-        endpoint.listener().respond(
-                token, textResponse(200, m_metrics.text(), "text/plain; version=0.0.4"));
+        endpoint.listener().respond(token,
+                                    textResponse(200,
+                                                 m_metrics.text() + connectionMetricsText(m_budget),
+                                                 "text/plain; version=0.0.4"));
         return true;
     }
     return false;
--- a/servers/http_frontend.h
+++ b/servers/http_frontend.h
@@ -35,7 +35,8 @@
 {
 public:
     HttpFrontend(FrontendAddresses addresses, PeerAddresses peers, HttpClient &client,
-                 PeerLink &peerLink, const Clock &clock, EventSink &events, Metrics &metrics);
+                 PeerLink &peerLink, const Clock &clock, EventSink &events, Metrics &metrics,
+                 ConnectionBudget &budget);
     ~HttpFrontend() override;
 
     /** Opens both listeners. Error: Unavailable, with the address that could not be bound. */
@@ -55,6 +56,7 @@
         Instant since;
     };
 
+    HeadVerdict inspectHead(const Endpoint &endpoint, const HttpRequest &head) const;
     void handleRequest(Endpoint &endpoint, HttpToken token, HttpRequest request);
     void handleAbandoned(Endpoint &endpoint, HttpToken token);
     bool tryAnswerDirectly(Endpoint &endpoint, HttpToken token, const HttpRequest &request);
@@ -69,6 +71,7 @@
     const Clock &m_clock;
     EventSink &m_events;
     Metrics &m_metrics;
+    ConnectionBudget &m_budget;
     std::unique_ptr<Endpoint> m_callerEndpoint;
     std::unique_ptr<Endpoint> m_peerEndpoint;
     std::mutex m_mutex;
--- a/servers/peer_listener.h
+++ b/servers/peer_listener.h
@@ -10,14 +10,16 @@
 class PeerListener final : private HttpHandler
 {
 public:
-    /** \a link must outlive this object. */
-    PeerListener(PeerLink &link, std::string fleetSecret);
+    /** \a link and \a budget must outlive this object. */
+    PeerListener(PeerLink &link, std::string fleetSecret, ConnectionBudget &budget);
 
     /** Errors as HttpListener::start. */
     absl::Status start(const std::string &ip, std::uint16_t port);
     void stop() { m_listener.stop(); }
 
 private:
+    /** Refuses a wrong secret before the body is read, so that only hosts may send large bodies. */
+    HeadVerdict inspectHead(const HttpRequest &head) override;
     void handleRequest(HttpToken token, HttpRequest request) override;
     void handleDisconnect(HttpToken) override {}
 
