--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 run: build
 	@$(RUNNER) tests/scenarios/tour.scenario
 
-test: unit scenarios soak-regressions soak-lost-responses
+test: unit scenarios soak-regressions soak-lost-responses clients
 
 unit: build
 	@$(BUILD)/tests/unit-tests
@@ -62,8 +62,7 @@
 soak-mixed-incarnations: build
 	@$(SOAK) --mix-incarnations --workers 48 --jobs 12 --seed 3300 --known-red KNOWN-RED.txt
 
-# What untrusted clients may send, against real processes: make clients [CASE=front-whole]. Not part of
-# make test until the byte budget is in place.
+# What untrusted clients may send, against real processes: make clients [CASE=front-whole].
 .PHONY: clients
 clients: build
 	@$(BUILD)/tests/untrusted-clients --binary $(BUILD)/gentiancross --folder $(BUILD)/clients-runs \
--- a/drivers/connection_budget.cpp
+++ b/drivers/connection_budget.cpp
@@ -11,7 +11,7 @@
  * a search for each of them. */
 constexpr std::size_t ReliefDivisor = 32;
 
-constexpr std::array<const char *, TurnedAwayReasons> ReasonNames
+constexpr std::array<const char *, RejectionReasons> ReasonNames
         = {"memory", "connections", "client_connections", "request_time", "body_size", "secret"};
 
 constexpr std::size_t relievedLevel(std::size_t limit)
@@ -21,7 +21,7 @@
 
 } // namespace
 
-const char *turnedAwayName(TurnedAway reason)
+const char *rejectionName(Rejection reason)
 {
     return ReasonNames.at(static_cast<std::size_t>(reason));
 }
@@ -137,7 +137,7 @@
     for (Entry *entry : candidates(Shortage::Memory, {}, now)) {
         if (m_bytes <= relievedLevel(m_limits.bytes))
             return;
-        close(*entry, TurnedAway::Memory);
+        close(*entry, Rejection::Memory);
     }
 }
 
@@ -146,7 +146,7 @@
     for (Entry *entry : candidates(Shortage::Connections, {}, now)) {
         if (m_open <= relievedLevel(m_limits.connections))
             return;
-        close(*entry, TurnedAway::Connections);
+        close(*entry, Rejection::Connections);
     }
 }
 
@@ -157,11 +157,11 @@
         if (found == m_clients.end()
             || found->second.connections <= relievedLevel(m_limits.connectionsPerClient))
             return;
-        close(*entry, TurnedAway::ClientConnections);
+        close(*entry, Rejection::ClientConnections);
     }
 }
 
-void ConnectionBudget::close(Entry &entry, TurnedAway reason)
+void ConnectionBudget::close(Entry &entry, Rejection reason)
 {
     setBytes(entry, 0);
     m_bytes -= ConnectionBytes;
@@ -170,7 +170,7 @@
     if (--client->second.connections == 0)
         m_clients.erase(client);
     entry.isClosing = true;
-    ++m_turnedAway.at(static_cast<std::size_t>(reason));
+    ++m_rejected.at(static_cast<std::size_t>(reason));
     entry.connection->abort();
 }
 
@@ -181,20 +181,20 @@
         const bool isExempt = entry.use.phase == ConnectionPhase::Deciding
                 || (entry.use.phase == ConnectionPhase::Idle && entry.use.isTrusted);
         if (!entry.isClosing && !isExempt && now - entry.use.since > m_limits.requestTime)
-            close(entry, TurnedAway::RequestTime);
+            close(entry, Rejection::RequestTime);
     }
 }
 
-void ConnectionBudget::count(TurnedAway reason)
+void ConnectionBudget::count(Rejection reason)
 {
     const std::lock_guard lock(m_mutex);
-    ++m_turnedAway.at(static_cast<std::size_t>(reason));
+    ++m_rejected.at(static_cast<std::size_t>(reason));
 }
 
 ConnectionTotals ConnectionBudget::totals() const
 {
     const std::lock_guard lock(m_mutex);
-    return {m_bytes, m_open, m_turnedAway};
+    return {m_bytes, m_open, m_rejected};
 }
 
 } // namespace gentiancross
--- a/drivers/connection_budget.h
+++ b/drivers/connection_budget.h
@@ -18,10 +18,10 @@
 using ConnectionId = NumberId<struct ConnectionTag>;
 
 /** Why a connection was closed or a request refused. */
-enum class TurnedAway { Memory, Connections, ClientConnections, RequestTime, BodySize, Secret };
-inline constexpr std::size_t TurnedAwayReasons = 6;
+enum class Rejection { Memory, Connections, ClientConnections, RequestTime, BodySize, Secret };
+inline constexpr std::size_t RejectionReasons = 6;
 /** The reason's name in metrics and log lines. */
-const char *turnedAwayName(TurnedAway reason);
+const char *rejectionName(Rejection reason);
 
 /** A connection that ConnectionBudget can close. */
 class ClosableConnection
@@ -42,7 +42,7 @@
 {
     std::size_t bytes = 0;
     std::size_t connections = 0;
-    std::array<std::uint64_t, TurnedAwayReasons> turnedAway = {};
+    std::array<std::uint64_t, RejectionReasons> rejected = {};
 };
 
 /**
@@ -72,7 +72,7 @@
     /** Closes connections whose request or answer has taken longer than the limit. */
     void closeOverdue(Instant now);
     /** Counts a request that a listener refused. */
-    void count(TurnedAway reason);
+    void count(Rejection reason);
 
     [[nodiscard]] ConnectionTotals totals() const;
     [[nodiscard]] const ConnectionLimits &limits() const { return m_limits; }
@@ -99,7 +99,7 @@
     void relieveMemory(Instant now);
     void relieveConnections(Instant now);
     void relieveClient(const std::string &client, Instant now);
-    void close(Entry &entry, TurnedAway reason);
+    void close(Entry &entry, Rejection reason);
     void setBytes(Entry &entry, std::size_t bytes);
 
     const ConnectionLimits m_limits;
@@ -111,7 +111,7 @@
     std::unordered_map<std::string, Client> m_clients;
     std::size_t m_bytes = 0;
     std::size_t m_open = 0;
-    std::array<std::uint64_t, TurnedAwayReasons> m_turnedAway = {};
+    std::array<std::uint64_t, RejectionReasons> m_rejected = {};
 };
 
 } // namespace gentiancross
--- a/drivers/http_listener.cpp
+++ b/drivers/http_listener.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <cctype>
 #include <chrono>
 #include <condition_variable>
@@ -103,12 +104,12 @@
 {
     const MHD_ConnectionInfo *const info
             = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-    std::string text(INET_ADDRSTRLEN, '\0');
+    std::array<char, INET_ADDRSTRLEN> text = {};
     if (info == nullptr || info->client_addr == nullptr || info->client_addr->sa_family != AF_INET)
         return std::string();
     const auto *const address = reinterpret_cast<const sockaddr_in *>(info->client_addr);
-    ::inet_ntop(AF_INET, &address->sin_addr, text.data(), INET_ADDRSTRLEN);
-    return text.c_str();
+    ::inet_ntop(AF_INET, &address->sin_addr, text.data(), text.size());
+    return text.data();
 }
 
 ConnectionId connectionIdOf(MHD_Connection *connection)
@@ -241,14 +242,14 @@
     if (verdict.isTrusted)
         m_budget.trust(exchange.connection);
     if (verdict.refusal.has_value()) {
-        m_budget.count(TurnedAway::Secret);
+        m_budget.count(Rejection::Secret);
         return queueResponse(connection, *verdict.refusal);
     }
     // The library has refused lengths that are no numbers.
     if (!absl::SimpleAtoi(request.header("content-length"), &exchange.declaredBytes))
         exchange.declaredBytes = 0;
     if (exchange.declaredBytes > m_maxBodyBytes) {
-        m_budget.count(TurnedAway::BodySize);
+        m_budget.count(Rejection::BodySize);
         exchange.isTooLarge = true;
         if (exchange.declaredBytes > DiscardFactor * m_maxBodyBytes
             || !request.header("expect").empty())
@@ -282,7 +283,7 @@
     exchange.receivedBytes += size;
     if (!exchange.isTooLarge && exchange.receivedBytes > m_maxBodyBytes) {
         exchange.isTooLarge = true;
-        m_budget.count(TurnedAway::BodySize);
+        m_budget.count(Rejection::BodySize);
         body = std::string();
         reserve(exchange, 0);
     }
@@ -369,7 +370,7 @@
             [](void *held) { delete static_cast<Body *>(held); }, body.get());
     if (raw == nullptr)
         return MHD_NO;
-    body.release(); // Deleted by the callback.
+    static_cast<void>(body.release()); // Deleted by the callback.
     for (const auto &[name, value] : response.headers)
         MHD_add_response_header(raw, name.c_str(), value.c_str());
     const MHD_Result result
--- a/servers/connection_monitor.cpp
+++ b/servers/connection_monitor.cpp
@@ -20,11 +20,11 @@
             = absl::StrCat("# TYPE gentiancross_connections gauge\n", "gentiancross_connections ",
                            totals.connections, "\n# TYPE gentiancross_connection_bytes gauge\n",
                            "gentiancross_connection_bytes ", totals.bytes,
-                           "\n# TYPE gentiancross_turned_away_total counter\n");
-    for (std::size_t reason = 0; reason < TurnedAwayReasons; ++reason)
-        absl::StrAppend(&text, "gentiancross_turned_away_total{reason=\"",
-                        turnedAwayName(static_cast<TurnedAway>(reason)), "\"} ",
-                        totals.turnedAway.at(reason), "\n");
+                           "\n# TYPE gentiancross_clients_rejected_total counter\n");
+    for (std::size_t reason = 0; reason < RejectionReasons; ++reason)
+        absl::StrAppend(&text, "gentiancross_clients_rejected_total{reason=\"",
+                        rejectionName(static_cast<Rejection>(reason)), "\"} ",
+                        totals.rejected.at(reason), "\n");
     return text;
 }
 
@@ -46,12 +46,12 @@
 void ConnectionMonitor::logChanges(Instant now)
 {
     const ConnectionTotals totals = m_budget.totals();
-    if (now < m_nextLine || totals.turnedAway == m_logged.turnedAway)
+    if (now < m_nextLine || totals.rejected == m_logged.rejected)
         return;
-    std::string line = "clients turned away:";
-    for (std::size_t reason = 0; reason < TurnedAwayReasons; ++reason)
-        absl::StrAppend(&line, " ", turnedAwayName(static_cast<TurnedAway>(reason)), "=",
-                        totals.turnedAway.at(reason) - m_logged.turnedAway.at(reason));
+    std::string line = "clients rejected:";
+    for (std::size_t reason = 0; reason < RejectionReasons; ++reason)
+        absl::StrAppend(&line, " ", rejectionName(static_cast<Rejection>(reason)), "=",
+                        totals.rejected.at(reason) - m_logged.rejected.at(reason));
     absl::StrAppend(&line, " held_bytes=", totals.bytes, " limit_bytes=", m_budget.limits().bytes,
                     " open=", totals.connections, " limit_open=", m_budget.limits().connections);
     logWarning("connections", line);
--- a/servers/connection_monitor.h
+++ b/servers/connection_monitor.h
@@ -11,7 +11,7 @@
 std::string connectionMetricsText(const ConnectionBudget &budget);
 
 /**
- * Closes overdue connections and writes a log line while clients are turned away, at most one every
+ * Closes overdue connections and writes a log line while clients are rejected, at most one every
  * few seconds. Called by the hosts' main loops. Thread safety: one thread.
  */
 class ConnectionMonitor
--- a/tests/clients/client_crowd.cpp
+++ b/tests/clients/client_crowd.cpp
@@ -74,9 +74,12 @@
         ::setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
                      sizeof(ReceiveBufferBytes));
     const sockaddr_in source = addressOf(sourceIp, 0);
-    ::bind(client.socket, reinterpret_cast<const sockaddr *>(&source), sizeof(source));
     const sockaddr_in target = addressOf(m_ip, m_port);
-    ::connect(client.socket, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+    // A failure shows as an error of the socket when it is polled.
+    static_cast<void>(
+            ::bind(client.socket, reinterpret_cast<const sockaddr *>(&source), sizeof(source)));
+    static_cast<void>(
+            ::connect(client.socket, reinterpret_cast<const sockaddr *>(&target), sizeof(target)));
 }
 
 bool ClientCrowd::wantsToSend(const Client &client, Time now) const
--- a/tests/clients/clients_main.cpp
+++ b/tests/clients/clients_main.cpp
@@ -221,7 +221,7 @@
 }
 
 /** A status that says that the request was not run for lack of room or time. */
-bool isTurnedAway(int status)
+bool isRejection(int status)
 {
     return status == 0 || status == 408 || status == 413 || status == 429 || status == 503;
 }
@@ -249,7 +249,7 @@
     return answer.size() <= StatusOffset ? 0 : std::atoi(answer.c_str() + StatusOffset);
 }
 
-/** Guards against limits that turn away a single request inside the limits of ordinary clients. */
+/** Guards against limits that reject a single request inside the limits of ordinary clients. */
 bool runCalm(const std::string &binary, const std::string &folder)
 {
     SmallCell cell(binary, folder, RealKeeperLimits, EntryLimits);
@@ -262,8 +262,8 @@
                            const std::string &wire) {
         const int status = statusOf(ip, port, wire);
         std::cout << "calm, " << what << ": status=" << status << std::endl;
-        if (isTurnedAway(status))
-            isPassed = fail("calm", what + " was turned away");
+        if (isRejection(status))
+            isPassed = fail("calm", what + " was rejected");
     };
     const std::string front = SmallCell::EntryIp;
     const std::string control = SmallCell::KeeperIp;
--- a/tests/drivers/connection_budget_test.cpp
+++ b/tests/drivers/connection_budget_test.cpp
@@ -52,9 +52,9 @@
     std::vector<ConnectionId> ids;
 };
 
-std::uint64_t countOf(const Crowd &crowd, TurnedAway reason)
+std::uint64_t countOf(const Crowd &crowd, Rejection reason)
 {
-    return crowd.budget.totals().turnedAway.at(static_cast<std::size_t>(reason));
+    return crowd.budget.totals().rejected.at(static_cast<std::size_t>(reason));
 }
 
 } // namespace
@@ -71,7 +71,7 @@
     CHECK_FALSE(crowd.isClosed(recent));
     CHECK_FALSE(crowd.isClosed(small));
     CHECK_FALSE(crowd.isClosed(ordinary));
-    CHECK(countOf(crowd, TurnedAway::Memory) == 1);
+    CHECK(countOf(crowd, Rejection::Memory) == 1);
 }
 
 TEST_CASE("A client with one large document does not go before another client's many connections")
@@ -121,7 +121,7 @@
     CHECK(crowd.closed() == 1);
     CHECK_FALSE(crowd.isClosed(other));
     CHECK_FALSE(crowd.isClosed(served));
-    CHECK(countOf(crowd, TurnedAway::ClientConnections) == 1);
+    CHECK(countOf(crowd, Rejection::ClientConnections) == 1);
 }
 
 TEST_CASE("A new connection beyond the limit takes the place of the one that is idle for longest")
--- a/tests/drivers/http_listener_test.cpp
+++ b/tests/drivers/http_listener_test.cpp
@@ -72,9 +72,9 @@
     return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
 }
 
-std::uint64_t countOf(const ConnectionBudget &budget, TurnedAway reason)
+std::uint64_t countOf(const ConnectionBudget &budget, Rejection reason)
 {
-    return budget.totals().turnedAway.at(static_cast<std::size_t>(reason));
+    return budget.totals().rejected.at(static_cast<std::size_t>(reason));
 }
 
 } // namespace
@@ -88,8 +88,8 @@
     CHECK(exchange(head("/", "Content-Length: 999999999\r\n")).starts_with("HTTP/1.1 413"));
     CHECK(exchange(head("/", "Expect: 100-continue\r\nContent-Length: 100001\r\n"))
                   .starts_with("HTTP/1.1 413"));
-    CHECK(countOf(budget, TurnedAway::Secret) == 1);
-    CHECK(countOf(budget, TurnedAway::BodySize) == 2);
+    CHECK(countOf(budget, Rejection::Secret) == 1);
+    CHECK(countOf(budget, Rejection::BodySize) == 2);
 }
 
 TEST_CASE("A body of the largest size arrives in chunks of one byte, one more byte is refused")
@@ -102,5 +102,5 @@
     const std::string chunked = head("/", "Transfer-Encoding: chunked\r\n");
     CHECK(exchange(chunked + chunks + "0\r\n\r\n").ends_with("\r\n\r\n100000"));
     CHECK(exchange(chunked + chunks + "1\r\nx\r\n0\r\n\r\n").starts_with("HTTP/1.1 413"));
-    CHECK(countOf(budget, TurnedAway::BodySize) == 1);
+    CHECK(countOf(budget, Rejection::BodySize) == 1);
 }
