Evacuate data centres by order of the operator

Operators got 404 for POST /evacuations/ZONE/begin and /finish: nothing kept new work out of a data centre short of draining each of its workers.

Both orders are records of the cell's log now (EvacuationBegun, EvacuationEnded), answered once they are durable, by any keeper. A flag of the pooled worker, set by EvacuationHandler, is part of WorkerPool::isUsable, so placement, gangs, advice, claims of capacity and stops of best-effort runs leave the data centre out; canSendStart abandons a start that waits for its record, and an unanswered start is not sent again there. A run that a list shows goes on; one that it lacks is stopped and starts elsewhere. After finish the flag is cleared only once the record is durable.

The order that reached the cell last is in force. A relaying host tells how long it has held an order; one that came before the order in force gets 503, so that an operator that still waits sends it again.

--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -1,5 +1,7 @@
 #include "control/jobs/call_relay.h"
 
+#include "control/evacuation/order_age.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -68,7 +70,7 @@
         refuse(event.exchange, event.call, out);
         return;
     }
-    Pending pending{event.call, now + event.timeout, std::nullopt};
+    Pending pending{event.call, now, now + event.timeout, std::nullopt};
     if (hasLeader(now))
         send(now, event.exchange, pending, out);
     m_pending.emplace(event.exchange, std::move(pending));
@@ -105,7 +107,8 @@
     pending.sentAt = now;
     if (const auto key = submissionKey(pending.call))
         m_unansweredSubmissions[*key] = now;
-    out.send(*m_leader, RelayCallRequest{exchange, pending.call, m_query.session});
+    CellCall call = evacuation::withAge(pending.call, now - pending.receivedAt);
+    out.send(*m_leader, RelayCallRequest{exchange, std::move(call), m_query.session});
 }
 
 void CallRelay::receive(Instant now, const HostId &from, const LeaderReport &message, Outbox &out)
@@ -168,11 +171,12 @@
         queryLeader(now, out);
 }
 
-std::vector<std::pair<ExchangeId, CellCall>> CallRelay::takePending()
+std::vector<std::pair<ExchangeId, CellCall>> CallRelay::takePending(Instant now)
 {
     std::vector<std::pair<ExchangeId, CellCall>> calls;
     for (auto &[exchange, pending] : m_pending)
-        calls.emplace_back(exchange, std::move(pending.call));
+        calls.emplace_back(exchange,
+                           evacuation::withAge(std::move(pending.call), now - pending.receivedAt));
     m_pending.clear();
     return calls;
 }
--- a/control/jobs/call_relay.h
+++ b/control/jobs/call_relay.h
@@ -32,7 +32,7 @@
     void forgetExchange(ExchangeId exchange) { m_pending.erase(exchange); }
     void tick(Instant now, Outbox &out);
     /** Removes and returns the pending calls, for a host that has become the leader. */
-    std::vector<std::pair<ExchangeId, CellCall>> takePending();
+    std::vector<std::pair<ExchangeId, CellCall>> takePending(Instant now);
 
     /** Sets the hosts that can call the adviser and have lately sent this keeper a query. */
     void setAdviserCallers(std::vector<HostLastHeard> callers)
@@ -51,6 +51,7 @@
     struct Pending
     {
         CellCall call;
+        Instant receivedAt;
         Instant deadline;
         /** When it was last sent to a leader; empty before. */
         std::optional<Instant> sentAt;
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -22,6 +22,7 @@
     , m_pool(now)
     , m_advice(m_options.self, AdviceRequestId(m_options.fence.value() << IdBitsPerFence))
     , m_callHandler(m_store, *this)
+    , m_evacuations(now, m_options.dataCentres, m_store, m_pool, *this)
     , m_admission(std::make_unique<DelayAdmission>(AdmissionSettings{.validity = OrderValidity}))
     , m_runs(m_options.fence, m_store, m_pool, m_advice, *m_admission, *this)
     , m_planner(m_store, m_pool, m_advice, *m_admission, std::make_unique<PackingCostPolicy>(),
@@ -76,6 +77,8 @@
 void CellLeader::apply(JobRecord record)
 {
     jobstore::apply(m_store, record, this);
+    if (const auto *const ended = std::get_if<EvacuationEnded>(&record))
+        m_decisions.endedEvacuations.push_back(ended->dataCentre);
     m_decisions.records.push_back(std::move(record));
 }
 
@@ -186,6 +189,25 @@
     m_callHandler.handle(origin, call);
 }
 
+void CellLeader::handle(Instant now, Milliseconds, const CallOrigin &origin,
+                        const BeginEvacuation &call, Outbox &out)
+{
+    m_evacuations.handle(now, origin, call, out);
+    m_planner.markChanged();
+}
+
+void CellLeader::handle(Instant now, Milliseconds, const CallOrigin &origin,
+                        const EndEvacuation &call, Outbox &out)
+{
+    m_evacuations.handle(now, origin, call, out);
+}
+
+void CellLeader::handle(Instant, Milliseconds, const CallOrigin &origin, const ListEvacuations &,
+                        Outbox &)
+{
+    m_evacuations.list(origin);
+}
+
 void CellLeader::handle(Instant now, Milliseconds wall, const CallOrigin &origin,
                         const WorkerHeartbeat &call, Outbox &out)
 {
@@ -346,6 +368,7 @@
     beginDueOccurrences(wall);
     forgetExpiredJobs();
     m_runs.tick(now, out);
+    m_evacuations.tick(now, out);
     logAdmissionLimit(out);
     // Workers become usable again and tickets expire with time, without any event.
     m_planner.markChanged();
@@ -422,7 +445,7 @@
     const JobTaskRef &task = start.task;
     const auto [worker, run] = findUnsentRun(start);
     if (run == nullptr || !m_runs.isWanted(task) || worker->isOnlyPolled()
-        || worker->hasUnexpectedRun)
+        || worker->hasUnexpectedRun || worker->isEvacuated)
         return false;
     if (!m_store.jobs.at(task.step.job).terms.advice.has_value())
         return true;
@@ -441,6 +464,10 @@
         out.measure(SpanMeasured{Span::StartDurable, now - *decisions.firstStartAt});
     if (decisions.firstEndAt.has_value())
         out.measure(SpanMeasured{Span::EndDurable, now - *decisions.firstEndAt});
+    for (const DataCentreId &dataCentre : decisions.endedEvacuations) {
+        m_evacuations.recordEndDurable(dataCentre);
+        m_planner.markChanged();
+    }
     // An acknowledgement waits for the starts before it, so it goes ahead of these.
     for (const auto &[incarnation, number] : decisions.acknowledgedEnds) {
         PooledWorker *const worker = m_pool.find(incarnation);
@@ -466,6 +493,8 @@
         const WorkerIncarnation incarnation = worker->report.incarnation;
         if (incompleteGangs.contains({task.step, start.run}) || !canSendStart(now, start)) {
             // The order has not left this host, so there is nothing to stop.
+            if (worker->isEvacuated)
+                out.count(CellEvent::EvacuatedStartAbandoned);
             m_runs.endRun(incarnation, task, RunEnding::NotStarted, out);
             continue;
         }
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/evacuation/evacuation_handler.h"
 #include "control/jobs/advice_coordinator.h"
 #include "control/jobs/call_handler.h"
 #include "control/jobs/job_store.h"
@@ -39,6 +40,8 @@
     std::vector<OriginAnswer> answers;
     std::vector<DecidedStart> starts;
     std::map<WorkerIncarnation, CompletionNumber> acknowledgedEnds;
+    /** Data centres in which work may be started again. */
+    std::vector<DataCentreId> endedEvacuations;
     /** When the first start was decided and when the first end was recorded. */
     std::optional<Instant> firstStartAt;
     std::optional<Instant> firstEndAt;
@@ -62,6 +65,8 @@
     std::string heartbeatAddress;
     /** How long a job is kept after its end. */
     Milliseconds jobRetention{DefaultJobRetentionMilliseconds};
+    /** The cell's data centres, or a part of them; empty if none is known. */
+    std::set<DataCentreId> dataCentres;
 };
 
 /**
@@ -103,6 +108,12 @@
     /** Sends the orders of \a decisions, whose records are durable. The caller sends answers. */
     void carryOut(Instant now, const DecisionBatch &decisions, Outbox &out);
 
+    /** Replaces the cell's data centres by the settings. */
+    void setDataCentres(std::set<DataCentreId> dataCentres)
+    {
+        m_evacuations.setConfigured(std::move(dataCentres));
+    }
+
     [[nodiscard]] const JobStoreData &store() const { return m_store; }
 
 private:
@@ -134,6 +145,13 @@
     void handle(Instant now, Milliseconds wall, const CallOrigin &origin, const WorkerLeave &call,
                 Outbox &out);
 
+    void handle(Instant now, Milliseconds wall, const CallOrigin &origin,
+                const BeginEvacuation &call, Outbox &out);
+    void handle(Instant now, Milliseconds wall, const CallOrigin &origin, const EndEvacuation &call,
+                Outbox &out);
+    void handle(Instant now, Milliseconds wall, const CallOrigin &origin,
+                const ListEvacuations &call, Outbox &out);
+
     /** Refuses a heartbeat that can't be the worker's own. */
     void refuse(const CallOrigin &origin, const WorkerIncarnation &incarnation, const char *reason,
                 Outbox &out);
@@ -165,6 +183,7 @@
     WorkerPool m_pool;
     AdviceCoordinator m_advice;
     CallHandler m_callHandler;
+    EvacuationHandler m_evacuations;
     std::unique_ptr<StartAdmission> m_admission;
     /** The limit of concurrent starts that was logged last. */
     std::size_t m_loggedLimit = 0;
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -292,7 +292,12 @@
 
 void CellRoot::handle(const SeedsRead &event)
 {
-    m_out.add(LogLine{false, "reload", absl::StrCat("seeds=", event.seeds.size())});
+    m_out.add(LogLine{false, "reload",
+                      absl::StrCat("seeds=", event.seeds.size(),
+                                   " data_centres=", event.dataCentres.size())});
+    m_options.dataCentres = event.dataCentres;
+    if (m_leader != nullptr)
+        m_leader->setDataCentres(event.dataCentres);
     for (const HostId &seed : event.seeds) {
         m_relay.addKeeper(seed);
         if (m_raft.has_value())
@@ -477,7 +482,8 @@
 void CellRoot::beginToLead()
 {
     LeaderOptions options{m_options.directory.self, Fence(m_raft->term().value()),
-                          m_options.heartbeatAddress, m_options.jobRetention};
+                          m_options.heartbeatAddress, m_options.jobRetention,
+                          m_options.dataCentres};
     m_leader = std::make_unique<CellLeader>(m_now, std::move(options), m_raft->state().data().jobs);
     m_out.count(CellEvent::LeadershipGained);
     m_out.add(LogLine{false, "leader",
@@ -485,7 +491,7 @@
                                    " index=", m_raft->appliedIndex().value(),
                                    " jobs=", m_leader->store().jobs.size())});
     preferVoters();
-    for (const auto &[exchange, call] : m_relay.takePending())
+    for (const auto &[exchange, call] : m_relay.takePending(m_now))
         m_leader->receive(m_now, m_wall, {m_options.directory.self, exchange}, call, m_out);
     for (auto querier = m_leaderQueriers.begin(); querier != m_leaderQueriers.end();) {
         if (m_now - querier->second.queriedAt > MaxQuerierAge) {
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -34,6 +34,8 @@
     std::uint64_t seed = 1;
     /** How long a job is kept after its end. */
     Milliseconds jobRetention{DefaultJobRetentionMilliseconds};
+    /** The cell's data centres by the settings; empty if these list none. */
+    std::set<DataCentreId> dataCentres;
 };
 
 /**
--- a/control/jobs/job_store.cpp
+++ b/control/jobs/job_store.cpp
@@ -148,6 +148,16 @@
         }
     }
 
+    void operator()(const EvacuationBegun &record)
+    {
+        m_data.evacuatedDataCentres.insert(record.dataCentre);
+    }
+
+    void operator()(const EvacuationEnded &record)
+    {
+        m_data.evacuatedDataCentres.erase(record.dataCentre);
+    }
+
 private:
     /** Ends the job. Nothing of it will start any more, so the payload of starts is dropped. */
     static void end(Job &job, JobState state)
--- a/control/jobs/run_tracker.cpp
+++ b/control/jobs/run_tracker.cpp
@@ -745,12 +745,11 @@
         if (!run.wasSent || run.isCallInFlight || now < run.nextAttempt)
             continue;
         // The repetition could start the task long after the worker has begun to drain.
-        const bool mustNotStart = !run.wasAcknowledged && worker.report.isDraining;
-        run.isStopping = run.isStopping || mustNotStart;
+        run.isStopping = run.isStopping || worker.mustStopUnanswered(run);
         if (run.isStopping || !isWanted(task)) {
             run.isCallInFlight = true;
             orderStop(now, worker, task, run.run, out);
-        } else if (!run.wasAcknowledged && !worker.isOnlyPolled()) {
+        } else if (worker.mayRepeatStart(run)) {
             orderStart(now, worker, task, out);
         } else if (run.wasAcknowledged) {
             run.nextAttempt = now + ExecutingCheckInterval;
--- a/control/jobs/start_copies.h
+++ b/control/jobs/start_copies.h
@@ -64,6 +64,8 @@
     {
         return m_unanswered > 0 && now - m_lastSentAt <= MaxAge;
     }
+    /** When the newest copy was sent. */
+    [[nodiscard]] Instant lastSentAt() const { return m_lastSentAt; }
     /** True if a list can settle them. */
     [[nodiscard]] bool canBeListed() const { return m_sent <= 1; }
 
--- a/control/jobs/worker_pool.cpp
+++ b/control/jobs/worker_pool.cpp
@@ -38,6 +38,7 @@
             && worker.report.capacity == report.capacity && worker.report.labels == report.labels;
     m_areCapacitiesCurrent = m_areCapacitiesCurrent && !isNew && hasSameCapacity;
     worker.report = report;
+    worker.isEvacuated = m_evacuatedDataCentres.contains(report.dataCentre);
     if (isNew) {
         worker.lastHeartbeat = now;
         worker.revision = m_lastRevision;
@@ -45,6 +46,18 @@
     return worker;
 }
 
+void WorkerPool::setEvacuated(const DataCentreId &dataCentre, bool isEvacuated)
+{
+    if (isEvacuated)
+        m_evacuatedDataCentres.insert(dataCentre);
+    else
+        m_evacuatedDataCentres.erase(dataCentre);
+    for (auto &[incarnation, worker] : m_workers) {
+        if (worker.report.dataCentre == dataCentre)
+            worker.isEvacuated = isEvacuated;
+    }
+}
+
 void WorkerPool::remove(const WorkerIncarnation &incarnation)
 {
     const auto found = m_workers.find(incarnation);
@@ -279,8 +292,8 @@
 {
     return worker.isAnnounced && !worker.report.isDraining && !worker.isOnlyPolled()
             && !worker.hasUnexpectedRun && !worker.isContested && !worker.isAcknowledgementOverdue
-            && worker.clock.has_value() && now - worker.lastHeartbeat < MaxHeartbeatAge
-            && now >= worker.avoidUntil;
+            && !worker.isEvacuated && worker.clock.has_value()
+            && now - worker.lastHeartbeat < MaxHeartbeatAge && now >= worker.avoidUntil;
 }
 
 } // namespace gentiancross
--- a/control/jobs/worker_pool.h
+++ b/control/jobs/worker_pool.h
@@ -156,6 +156,8 @@
     /** Job of the run that failed last; failures of one job do not indicate a faulty worker. */
     JobId lastFailedJob;
     Instant avoidUntil;
+    /** True while the operator has ordered that nothing is started in its data centre. */
+    bool isEvacuated = false;
     WorkerPace pace;
 
     /** True if the worker is only asked for its lists: it gets no run and no lease, and no end is
@@ -163,6 +165,19 @@
     [[nodiscard]] bool isOnlyPolled() const { return isFailing || isUnverified || isClaim(); }
     /** True if it has only been claimed, by a heartbeat that may be another writer's. */
     [[nodiscard]] bool isClaim() const { return proof == IncarnationProof::None; }
+    /** True if an unanswered start of \a run may be sent to it again. */
+    [[nodiscard]] bool mayRepeatStart(const OpenRun &run) const
+    {
+        return !run.wasAcknowledged && !isOnlyPolled() && !isEvacuated;
+    }
+    /** True if \a run, whose start got no answer, is to be stopped because the start may not be
+     * repeated. In an evacuated data centre a run that has begun is to continue, so it is stopped
+     * only if a list that was made since the start was sent lacks it. */
+    [[nodiscard]] bool mustStopUnanswered(const OpenRun &run) const
+    {
+        return !run.wasAcknowledged
+                && (report.isDraining || (isEvacuated && listedAt > run.startCopies.lastSentAt()));
+    }
     [[nodiscard]] bool hasNewAcknowledgement() const { return acknowledgedEnd > droppedEnd; }
     /** True if an acknowledgement that is sent now could follow a start in the next incarnation. */
     [[nodiscard]] bool hasUnsettledStart(Instant now) const
@@ -228,6 +243,9 @@
     /** Adds an incarnation or updates its report. */
     PooledWorker &addOrUpdate(Instant now, const WorkerReport &report);
     void remove(const WorkerIncarnation &incarnation);
+    /** Excludes the workers of the data centre from new runs, or includes them again; also those
+     * that are added later. */
+    void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated);
     /** True if an incarnation of the worker, other than a claim, has been removed. */
     [[nodiscard]] bool wasRemoved(const WorkerId &worker) const
     {
@@ -311,6 +329,7 @@
     FenceRevision m_lastRevision;
     std::map<WorkerIncarnation, PooledWorker> m_workers;
     std::set<WorkerId> m_removedNames;
+    std::set<DataCentreId> m_evacuatedDataCentres;
     CapacityIndex m_capacities;
     bool m_areCapacitiesCurrent = true;
     WorkerPace m_averagePace;
--- a/core/events.h
+++ b/core/events.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -161,6 +162,8 @@
 struct SeedsRead
 {
     std::vector<HostId> seeds;
+    /** The cell's data centres by the settings; empty if these list none. */
+    std::set<DataCentreId> dataCentres;
 };
 
 /** An external call to the cell. */
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -25,6 +25,8 @@
     Unknown,
     /** The method does not exist here. */
     NoSuchMethod,
+    /** The cell has no such data centre. */
+    NoSuchDataCentre,
 };
 
 enum class JobVerb { Submit, Status, Cancel };
@@ -99,9 +101,46 @@
     }
 };
 
+/** The operator orders that nothing more is started in a data centre. */
+struct BeginEvacuation
+{
+    DataCentreId dataCentre;
+    /** How long ago the call reached the host that relays it. */
+    Milliseconds age;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.dataCentre, self.age);
+    }
+};
+
+/** The operator withdraws that order. */
+struct EndEvacuation
+{
+    DataCentreId dataCentre;
+    /** How long ago the call reached the host that relays it. */
+    Milliseconds age;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.dataCentre, self.age);
+    }
+};
+
+struct ListEvacuations
+{
+    template <typename Self>
+    static auto fields(Self &)
+    {
+        return std::tuple<>();
+    }
+};
+
 /** An external call that only the cell's leader decides. */
-using CellCall
-        = std::variant<JobCall, PutConfiguration, GetConfiguration, WorkerHeartbeat, WorkerLeave>;
+using CellCall = std::variant<JobCall, PutConfiguration, GetConfiguration, WorkerHeartbeat,
+                              WorkerLeave, BeginEvacuation, EndEvacuation, ListEvacuations>;
 
 struct CallRefused
 {
@@ -172,8 +211,36 @@
     }
 };
 
+/** An evacuated data centre, and what is still there. */
+struct EvacuatedDataCentre
+{
+    DataCentreId dataCentre;
+    std::uint64_t workers = 0;
+    /** Runs that may still be running on them. */
+    std::uint64_t runs = 0;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.dataCentre, self.workers, self.runs);
+    }
+};
+
+struct EvacuationList
+{
+    std::vector<EvacuatedDataCentre> evacuated;
+    /** Workers in the other data centres; while there are none, all work waits. */
+    std::uint64_t workersElsewhere = 0;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.evacuated, self.workersElsewhere);
+    }
+};
+
 using CallAnswer = std::variant<CallRefused, CallDone, JobStateReport, QueueLengthReport,
-                                ConfigurationReport, HeartbeatAccepted>;
+                                ConfigurationReport, HeartbeatAccepted, EvacuationList>;
 
 /** A host, and the time since a message from it last arrived. */
 struct HostLastHeard
--- a/core/job_records.h
+++ b/core/job_records.h
@@ -3,6 +3,7 @@
 #include "core/jobs.h"
 
 #include <map>
+#include <set>
 #include <variant>
 
 namespace gentiancross {
@@ -98,11 +99,14 @@
     std::map<WorkerIncarnation, WorkerReport> workers;
     /** The most recent incarnations that have left, oldest first. */
     std::vector<WorkerIncarnation> leftWorkers;
+    /** Data centres in which nothing may be started, by order of the operator. */
+    std::set<DataCentreId> evacuatedDataCentres;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.document, self.jobs, self.workers, self.leftWorkers);
+        return std::tie(self.document, self.jobs, self.workers, self.leftWorkers,
+                        self.evacuatedDataCentres);
     }
 };
 
@@ -249,10 +253,35 @@
     }
 };
 
+/** From here on nothing is started in the data centre. */
+struct EvacuationBegun
+{
+    DataCentreId dataCentre;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.dataCentre);
+    }
+};
+
+/** Work may be started in the data centre again. */
+struct EvacuationEnded
+{
+    DataCentreId dataCentre;
+
+    template <typename Self>
+    static auto fields(Self &self)
+    {
+        return std::tie(self.dataCentre);
+    }
+};
+
 /** Append new alternatives at the end: journals store their index. */
-using JobRecord = std::variant<DocumentAccepted, JobAccepted, JobCancelled, OccurrenceBegun,
-                               RunOrdered, RunEnded, WorkerReported, WorkerIncarnationEnded,
-                               RunMoved, JobsForgotten, WorkerLeft>;
+using JobRecord
+        = std::variant<DocumentAccepted, JobAccepted, JobCancelled, OccurrenceBegun, RunOrdered,
+                       RunEnded, WorkerReported, WorkerIncarnationEnded, RunMoved, JobsForgotten,
+                       WorkerLeft, EvacuationBegun, EvacuationEnded>;
 
 /** Changes of the job store that are committed as one log entry, in this order. */
 struct JobChanges
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -86,6 +86,14 @@
     LeaseWithheld,
     /** A best-effort run was stopped, so that a task with a latency target finds a worker. */
     BestEffortEvicted,
+    /** The operator's order to start nothing more in a data centre was accepted. */
+    EvacuationBegun,
+    /** Such an order was withdrawn. */
+    EvacuationEnded,
+    /** An order to begin or finish an evacuation was refused. */
+    EvacuationOrderRefused,
+    /** A start was decided for a worker in an evacuated data centre and was not sent. */
+    EvacuatedStartAbandoned,
 };
 
 /** Time spans that are measured. */
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -51,6 +51,17 @@
     return seeds;
 }
 
+/** Empty if the settings do not list the data centres: the host's own is not all of them. */
+std::set<DataCentreId> dataCentresOf(const platform::BootSettings &boot)
+{
+    std::set<DataCentreId> dataCentres;
+    for (const std::string &dataCentre : boot.dataCentres)
+        dataCentres.emplace(dataCentre);
+    if (!dataCentres.empty() && !boot.dataCentre.empty())
+        dataCentres.emplace(boot.dataCentre);
+    return dataCentres;
+}
+
 /** Posts ticks, signals and changes of the settings file as events; called on the main thread. */
 class CellMainLoopHandler final : public MainLoopHandler
 {
@@ -93,7 +104,7 @@
         m_modifiedAt = modificationTime();
         const absl::StatusOr<platform::BootSettings> boot = platform::readBootSettings(m_bootPath);
         if (boot.ok())
-            m_events.post(SeedsRead{seedHosts(*boot)});
+            m_events.post(SeedsRead{seedHosts(*boot), dataCentresOf(*boot)});
         else
             logWarning("reload", describeError(boot.status()));
     }
@@ -118,6 +129,7 @@
     options.seed = generateRandomSeed();
     if (boot.jobStatusRetention > Milliseconds(0))
         options.jobRetention = boot.jobStatusRetention + ResendMargin;
+    options.dataCentres = dataCentresOf(boot);
     options.directory.self = self;
     options.directory.hosts.emplace(
             self, HostInfo{self, DataCentreId(boot.dataCentre), options.isKeeper});
--- a/servers/cell_metrics.cpp
+++ b/servers/cell_metrics.cpp
@@ -28,7 +28,7 @@
 constexpr std::array EndingNames
         = {"done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost"};
 constexpr std::array SourceNames = {"listed", "concluded", "concluded_inherited"};
-constexpr std::array<std::pair<const char *, const char *>, 26> EventNames = {{
+constexpr std::array<std::pair<const char *, const char *>, 30> EventNames = {{
         {"starts_total", "run=\"first\""},
         {"starts_total", "run=\"later\""},
         {"starts_repeated_total", ""},
@@ -55,6 +55,10 @@
         {"late_ends_released_total", ""},
         {"leases_withheld_total", ""},
         {"best_effort_evicted_total", ""},
+        {"evacuation_orders_total", "result=\"begun\""},
+        {"evacuation_orders_total", "result=\"ended\""},
+        {"evacuation_orders_total", "result=\"refused\""},
+        {"evacuated_starts_abandoned_total", ""},
 }};
 constexpr std::array SpanNames = {"start_durable_milliseconds", "run_ended_milliseconds",
                                   "end_durable_milliseconds", "tick_gap_milliseconds"};
@@ -65,7 +69,7 @@
 {
     return static_cast<std::size_t>(value);
 }
-static_assert(EventNames.size() == indexOf(CellEvent::BestEffortEvicted) + 1,
+static_assert(EventNames.size() == indexOf(CellEvent::EvacuatedStartAbandoned) + 1,
               "Each event has a name, in the order of the enumerators.");
 
 std::string withLabels(const std::string &name, const std::string &labels)
