Add the verb evacuation to the command line

Operators had only the HTTP calls. `gentiancross evacuation begin|finish DATA-CENTRE` and `evacuation list` call a keeper's control address, with the exit codes of the other verbs.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -2,6 +2,7 @@
 #include "main/cell_command.h"
 #include "main/client_commands.h"
 #include "main/command.h"
+#include "main/evacuation_command.h"
 #include "main/report_command.h"
 #include "main/serve_command.h"
 #include "main/timeline_command.h"
@@ -28,6 +29,7 @@
     std::vector<std::unique_ptr<Command>> commands = gentiancross::makeClientCommands();
     commands.push_back(std::make_unique<gentiancross::ServeCommand>());
     commands.push_back(std::make_unique<gentiancross::CellCommand>());
+    commands.push_back(std::make_unique<gentiancross::EvacuationCommand>());
     commands.push_back(std::make_unique<gentiancross::CheckSettingsCommand>());
     commands.push_back(std::make_unique<gentiancross::TimelineCommand>());
     commands.push_back(std::make_unique<gentiancross::ReportCommand>());
