Let the model of a cell order evacuations

The tests of single starts don't cover crashes, lost calls and changes of leaders at the same time. Other plans draw the same random numbers as before.

--- a/tests/control/jobs/cell_model.cpp
+++ b/tests/control/jobs/cell_model.cpp
@@ -23,6 +23,10 @@
 /** Jobs must have ended, and long-running tasks must run, this long after the last fault. */
 constexpr std::int64_t RecoveryMs = 45'000;
 constexpr std::int64_t CancelMs = 10'000;
+/** Nothing may start in an evacuated data centre this long after the order was acknowledged. */
+constexpr std::int64_t EvacuateMs = 5000;
+constexpr std::int64_t OrderTimeoutMs = 1000;
+constexpr std::size_t DataCentres = 2;
 
 } // namespace
 
@@ -156,20 +160,28 @@
 {
     DecisionBatch decisions = host.leader->takeDecisions();
     host.pendingRecords = decisions.records;
+    const auto recordDone = [this](const DecisionBatch &durable) {
+        for (const OriginAnswer &answered : durable.answers) {
+            if (std::holds_alternative<CallDone>(answered.answer))
+                m_doneCalls.insert(answered.origin.exchange);
+        }
+    };
     if (decisions.records.empty()) {
+        recordDone(decisions);
         host.leader->carryOut(m_now, decisions, host.out);
         return;
     }
     host.isCommitting = true;
     const std::int64_t delayMs
             = m_random.chance(0.02) ? m_random.between(100, 300) : m_random.between(5, 30);
-    schedule(delayMs, [this, fence = host.fence, decisions = std::move(decisions)] {
+    schedule(delayMs, [this, recordDone, fence = host.fence, decisions = std::move(decisions)] {
         Host *const host = findHost(fence);
         if (host == nullptr || !host->canCommit)
             return;
         for (const JobRecord &record : host->pendingRecords)
             jobstore::apply(m_durable, record, nullptr);
         host->isCommitting = false;
+        recordDone(decisions);
         host->leader->carryOut(m_now, decisions, host->out);
         processDecisions(*host);
         checkJobs(false);
@@ -192,6 +204,7 @@
             return;
         }
         addTrace("sent " + describe(sent->call));
+        checkEvacuation(sent->call);
         schedule(sent->call.timeout.value(), [this, sent] {
             if (std::exchange(sent->isAnswered, true))
                 return;
@@ -318,6 +331,7 @@
     report.incarnation = {WorkerId(slot.name), Milliseconds(m_now.value())};
     report.pool = PoolId("pool");
     report.address = slot.address;
+    report.dataCentre = DataCentreId("dc" + std::to_string((&slot - m_slots.data()) % DataCentres));
     report.capacity.cores = MilliCores(WorkerMillicores);
     report.capacity.memory = Mebibytes(100'000);
     slot.worker = std::make_shared<ModelWorker>(m_now, report, m_random.between(980, 1000),
@@ -403,19 +417,65 @@
     call(heartbeat);
 }
 
+void CellModel::changeEvacuation()
+{
+    if (m_isOrderingEvacuation)
+        return;
+    m_isOrderingEvacuation = true;
+    if (m_evacuated.has_value()) {
+        const DataCentreId dataCentre = std::exchange(m_evacuated, std::nullopt)->first;
+        orderEvacuation(EndEvacuation{dataCentre, {}}, dataCentre);
+        return;
+    }
+    const DataCentreId dataCentre(
+            "dc" + std::to_string(m_random.between(0, std::int64_t(DataCentres) - 1)));
+    orderEvacuation(BeginEvacuation{dataCentre, {}}, dataCentre);
+}
+
+void CellModel::orderEvacuation(const CellCall &order, const DataCentreId &dataCentre)
+{
+    const bool isBegin = std::holds_alternative<BeginEvacuation>(order);
+    addTrace((isBegin ? "evacuation begins: " : "evacuation ends: ") + dataCentre.value());
+    const ExchangeId exchange = call(order);
+    schedule(OrderTimeoutMs, [=, this] {
+        if (!m_doneCalls.contains(exchange)) {
+            orderEvacuation(order, dataCentre);
+            return;
+        }
+        m_isOrderingEvacuation = false;
+        if (isBegin)
+            m_evacuated = std::pair(dataCentre, m_now);
+    });
+}
+
+void CellModel::checkEvacuation(const CallWorker &call)
+{
+    const auto *const start = std::get_if<OrderStart>(&call.order);
+    if (start == nullptr || !m_evacuated.has_value()
+        || (m_now - m_evacuated->second).value() <= EvacuateMs)
+        return;
+    for (std::size_t index = 0; index < m_slots.size(); ++index) {
+        const DataCentreId dataCentre("dc" + std::to_string(index % DataCentres));
+        if (m_slots[index].address == call.address && dataCentre == m_evacuated->first)
+            m_oracle.addViolation(start->task, "a start was sent to an evacuated data centre");
+    }
+}
+
 CellModel::WorkerSlot &CellModel::randomSlot()
 {
     return m_slots[std::size_t(m_random.between(0, std::int64_t(m_slots.size()) - 1))];
 }
 
-void CellModel::call(const CellCall &call)
+ExchangeId CellModel::call(const CellCall &call)
 {
+    const ExchangeId exchange(++m_lastExchange);
     Host *const host = currentLeader();
     if (host == nullptr)
-        return;
-    host->leader->receive(m_now, Milliseconds(m_now.value()),
-                          {HostId("host"), ExchangeId(++m_lastExchange)}, call, host->out);
+        return exchange;
+    host->leader->receive(m_now, Milliseconds(m_now.value()), {HostId("host"), exchange}, call,
+                          host->out);
     processDecisions(*host);
+    return exchange;
 }
 
 void CellModel::configure()
@@ -519,6 +579,7 @@
     repeatWhileFaulty(m_plan.leaderChangeIntervalMs, [this] { changeLeader(); });
     repeatWhileFaulty(m_plan.drainIntervalMs, [this] { drain(randomSlot()); });
     repeatWhileFaulty(m_plan.foreignHeartbeatIntervalMs, [this] { sendForeignHeartbeat(); });
+    repeatWhileFaulty(m_plan.evacuationIntervalMs, [this] { changeEvacuation(); });
     const Instant end = m_startedAt + Milliseconds(m_plan.durationMs);
     repeat(m_plan.jobIntervalMs / 2, m_plan.jobIntervalMs, [this, end] {
         const bool isBusy
@@ -526,6 +587,13 @@
         if (m_now < end && isBusy)
             submit(false);
     });
+    advanceUntil(end);
+    // The end of the last evacuation belongs to the recovery.
+    if (m_evacuated.has_value() || m_isOrderingEvacuation)
+        schedule(OrderTimeoutMs * 5, [this] {
+            if (m_evacuated.has_value())
+                changeEvacuation();
+        });
     advanceUntil(end + Milliseconds(RecoveryMs));
     checkJobs(true);
     for (const auto &[id, spec] : m_specs) {
--- a/tests/control/jobs/cell_model.h
+++ b/tests/control/jobs/cell_model.h
@@ -48,6 +48,8 @@
     /** Share of workers that leave whose leave call arrives seconds later, after they have started
      * again under their name. */
     double lateLeaveRatio = 0;
+    /** Mean interval between the operator's orders to begin or finish an evacuation. */
+    std::int64_t evacuationIntervalMs = 0;
 };
 
 /**
@@ -135,9 +137,15 @@
     void crash(WorkerSlot &slot);
     void drain(WorkerSlot &slot);
     void sendForeignHeartbeat();
+    /** Begins the evacuation of a data centre, or finishes the one in force. */
+    void changeEvacuation();
+    /** Orders it again until the order is acknowledged, as the operator does. */
+    void orderEvacuation(const CellCall &order, const DataCentreId &dataCentre);
+    /** Checks that a start leaves the evacuated data centre out. */
+    void checkEvacuation(const CallWorker &call);
     WorkerSlot &randomSlot();
 
-    void call(const CellCall &call);
+    ExchangeId call(const CellCall &call);
     void configure();
     void submit(bool isLongRunning);
     void checkJobs(bool isFinal);
@@ -155,6 +163,11 @@
     std::vector<WorkerSlot> m_slots;
     std::map<JobId, JobSpec> m_specs;
     std::uint64_t m_lastExchange = 0;
+    /** Calls that were answered as done. */
+    std::set<ExchangeId> m_doneCalls;
+    /** The data centre that is evacuated, and when the order was acknowledged. */
+    std::optional<std::pair<DataCentreId, Instant>> m_evacuated;
+    bool m_isOrderingEvacuation = false;
     std::size_t m_maxPendingCompletions = 0;
 };
 
