--- a/core/measurements.h
+++ b/core/measurements.h
@@ -88,6 +88,14 @@
     BestEffortEvicted,
     /** A worker was found to be faster or slower than the others, or no longer. */
     SpeedClassChanged,
+    /** The operator's order to start nothing more in a data centre was accepted. */
+    EvacuationBegun,
+    /** Such an order was withdrawn. */
+    EvacuationEnded,
+    /** An order to begin or finish an evacuation was refused. */
+    EvacuationOrderRefused,
+    /** A start was decided for a worker in an evacuated data centre and was not sent. */
+    EvacuatedStartAbandoned,
 };
 
 /** Time spans that are measured. */
