Serve expired work last, and rank work by team shares

Seen: after a burst of an urgent queue, its expired jobs kept the capacity and the adviser's time from jobs of other queues that could still be on time. A team that sent a multiple of its usual load made the other teams' jobs late; the weight of teams was decoded and not used.

Cause: the queue's sort key had the priority before the lateness, so an expired job of priority 0 went before an on-time job of priority 2. Nothing counted arrivals against weights.

Change: expired work ranks behind all other work except restarts, and its steps request advice one at a time while other steps wait for advice. TeamShares tells jobs within their team's weight in jobs per second from those beyond it when they arrive at the leader; within the same priority and lateness the former go first. A leader starts with full allowances and takes inherited jobs as within.

--- a/control/jobs/advice_coordinator.cpp
+++ b/control/jobs/advice_coordinator.cpp
@@ -58,6 +58,12 @@
     return present <= HostsForShortQueries || free > HostsForShortQueries;
 }
 
+bool AdviceCoordinator::isQuerying(const StepRef &step) const
+{
+    const auto found = m_steps.find(step);
+    return found != m_steps.end() && found->second.pending > 0;
+}
+
 HostId AdviceCoordinator::chooseHost(Instant now)
 {
     HostId best = m_self;
--- a/control/jobs/advice_coordinator.h
+++ b/control/jobs/advice_coordinator.h
@@ -83,6 +83,8 @@
     /** True if no query about the step is in flight and a host is available. Long queries leave
      * some hosts free for short ones. */
     [[nodiscard]] bool canQuery(Instant now, const StepRef &step, const AdviceTerms &terms) const;
+    /** True if a query about the step is in flight. */
+    [[nodiscard]] bool isQuerying(const StepRef &step) const;
     /** Queries the adviser about \a workers, through the host that is available first. */
     void query(Instant now, const StepRef &step, const AdviceTerms &terms,
                std::vector<WorkerId> workers, Outbox &out);
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -125,6 +125,10 @@
 void CellLeader::onJobChanged(const JobId &id, const Job &job)
 {
     m_callHandler.updateWaiting(id, job);
+    if (!job.isOver() && !m_planner.knowsJob(id)) {
+        m_shares.update(m_now, m_store.document);
+        m_planner.jobArrived(id, job, m_shares.recordArrival(m_now, job.terms.team));
+    }
     if (job.occurrencesBegun < job.spec.repeats && !job.isOver())
         m_repeatingJobs.insert(id);
     else
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -8,6 +8,7 @@
 #include "control/jobs/start_planner.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
+#include "control/overload/team_shares.h"
 
 #include <deque>
 #include <map>
@@ -169,6 +170,7 @@
     /** The limit of concurrent starts that was logged last. */
     std::size_t m_loggedLimit = 0;
     RunTracker m_runs;
+    TeamShares m_shares;
     StartPlanner m_planner;
     DecisionBatch m_decisions;
     /** Jobs with occurrences that have not begun yet. */
--- a/control/jobs/ready_queue.cpp
+++ b/control/jobs/ready_queue.cpp
@@ -34,6 +34,11 @@
         timing.arrivals.emplace(number, arrivedAt);
 }
 
+void ReadyQueue::addArrived(const JobId &id, const Job &job, ShareStanding standing)
+{
+    timingOf(id, job).standing = standing;
+}
+
 void ReadyQueue::updateJob(Instant now, const JobId &id, const Job &job)
 {
     if (job.isOver()) {
@@ -84,9 +89,10 @@
     std::vector<ReadyStep> entries;
     for (const WaitReason reason : {WaitReason::Restart, WaitReason::Start}) {
         if (hasIdleTasks(ref, reason, job))
-            entries.push_back(m_order->rank(now, ref, reason, job,
-                                            {timing.arrivals.at(ref.occurrence),
-                                             timing.remaining[ref.step], timing.whole}));
+            entries.push_back(
+                    m_order->rank(now, ref, reason, job,
+                                  {timing.arrivals.at(ref.occurrence), timing.remaining[ref.step],
+                                   timing.whole, timing.standing}));
     }
     if (entries.empty())
         return;
--- a/control/jobs/ready_queue.h
+++ b/control/jobs/ready_queue.h
@@ -23,6 +23,11 @@
     /** Records that an earlier leader accepted the job at \a arrivedAt. Precondition: `updateJob`
      * has not been called for the job yet. */
     void addInherited(const JobId &id, const Job &job, Instant arrivedAt);
+    /** Records the standing of a new job. Precondition: `updateJob` has not been called for the job
+     * yet. */
+    void addArrived(const JobId &id, const Job &job, ShareStanding standing);
+    /** True if the job has been added and is not over. */
+    [[nodiscard]] bool knowsJob(const JobId &id) const { return m_timings.contains(id); }
     /** Updates all entries of a job that is new, has begun an occurrence or is over. \a now is the
      * arrival time of a new job or occurrence. */
     void updateJob(Instant now, const JobId &id, const Job &job);
@@ -45,6 +50,8 @@
         /** The critical path from each step to the end of the job. */
         std::vector<Milliseconds> remaining;
         Milliseconds whole;
+        /** Fixed when the job arrived; an inherited job is within its team's share. */
+        ShareStanding standing = ShareStanding::Within;
         /** The steps that wait for each step. */
         std::vector<std::vector<std::uint32_t>> dependents;
     };
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -92,6 +92,7 @@
         return;
     m_hasChanged = false;
     m_hasDeferredStarts = false;
+    m_isAdviceAwaited = false;
     m_queue.updateRanks(now, m_store);
     AdviceLookahead lookahead(now, m_usage, m_pool);
     // Iterates over a copy, because starts change the set.
@@ -136,7 +137,21 @@
     // Further tickets would not let it start any earlier.
     if (isHeldBack && hasRoomWithTickets(now, ready.step, job, idle.size()))
         return;
-    requestAdvice(now, ready.step, job, out);
+    if (mayRequestAdvice(ready))
+        requestAdvice(now, ready.step, job, out);
+}
+
+bool StartPlanner::mayRequestAdvice(const ReadyStep &ready)
+{
+    if (ready.lateness != Lateness::Expired) {
+        m_isAdviceAwaited = true;
+        return true;
+    }
+    // One query at a time goes on, since steps that wait for advice need not ever get it.
+    if (m_isAdviceAwaited && m_expiredQuery.has_value() && m_advice.isQuerying(*m_expiredQuery))
+        return false;
+    m_expiredQuery = ready.step;
+    return true;
 }
 
 bool StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -63,6 +63,13 @@
     /** Records that an earlier leader accepted the job at \a arrivedAt. Precondition: `jobChanged`
      * has not been called for the job yet. */
     void jobInherited(const JobId &id, const Job &job, Instant arrivedAt);
+    /** Records the standing of a new job. Precondition: `jobChanged` has not been called for the
+     * job yet. */
+    void jobArrived(const JobId &id, const Job &job, ShareStanding standing)
+    {
+        m_queue.addArrived(id, job, standing);
+    }
+    [[nodiscard]] bool knowsJob(const JobId &id) const { return m_queue.knowsJob(id); }
 
     /** Requests a new plan after a change that may let a step start: free capacity, workers,
      * advice, caps or time. */
@@ -102,6 +109,9 @@
     bool isAdmitted();
     bool placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
                    std::vector<WorkerIncarnation> &places);
+    /** False while a request for an expired step would take the adviser's time from other steps.
+     */
+    bool mayRequestAdvice(const ReadyStep &ready);
     void requestAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out);
     [[nodiscard]] PooledWorker *choose(Instant now, const StepRef &ref, const Job &job,
                                        const PlacementConstraints &constraints);
@@ -124,6 +134,10 @@
     bool m_hasChanged = true;
     /** Number of starts that may still be decided in this plan. */
     std::size_t m_startsLeft = 0;
+    /** True if a step that is not expired needs advice to start, as found in this plan. */
+    bool m_isAdviceAwaited = false;
+    /** The expired step for which advice was requested last. */
+    std::optional<StepRef> m_expiredQuery;
     /** True if the last plan deferred starts because the admission limit was reached. */
     bool m_hasDeferredStarts = false;
 };
--- a/control/jobs/start_policy.cpp
+++ b/control/jobs/start_policy.cpp
@@ -97,6 +97,9 @@
                                   const Job &job, const StepTiming &timing) const
 {
     ReadyStep ready{reason, job.terms.priority, Lateness::OnTime, timing.arrivedAt, step};
+    // A restart takes back what the task had, whatever else its team has sent since.
+    if (reason == WaitReason::Start)
+        ready.standing = timing.standing;
     if (job.spec.steps[step.step].isLongRunning)
         return ready; // It has no deadline.
     const Milliseconds objective = objectiveOf(job, timing.whole);
--- a/control/jobs/start_policy.h
+++ b/control/jobs/start_policy.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "control/jobs/worker_pool.h"
+#include "control/overload/share_standing.h"
 
+#include <compare>
+#include <tuple>
 #include <vector>
 
 namespace gentiancross {
@@ -43,10 +46,11 @@
     Milliseconds remaining;
     /** The critical path of the whole job. */
     Milliseconds whole;
+    ShareStanding standing = ShareStanding::Within;
 };
 
-/** The tasks of a step that could start and wait for the same reason. The fields are the sort key
- * of the queue. */
+/** The tasks of a step that could start and wait for the same reason, in the order of service:
+ * restarts, then work that is not expired, then by priority, lateness, share and latest start. */
 struct ReadyStep
 {
     WaitReason reason = WaitReason::Start;
@@ -55,9 +59,23 @@
     /** The latest start that keeps the job within `lateness`. */
     Instant latestStart;
     StepRef step;
+    ShareStanding standing = ShareStanding::Within;
 
-    auto operator<=>(const ReadyStep &) const = default;
+    std::strong_ordering operator<=>(const ReadyStep &other) const
+    {
+        return sortKey() <=> other.sortKey();
+    }
     bool operator==(const ReadyStep &) const = default;
+
+private:
+    using SortKey = std::tuple<WaitReason, bool, std::int64_t, Lateness, ShareStanding, Instant,
+                               const StepRef &>;
+
+    [[nodiscard]] SortKey sortKey() const
+    {
+        return {reason, lateness == Lateness::Expired, priority, lateness, standing, latestStart,
+                step};
+    }
 };
 
 /** Ranks the steps that wait for free capacity; called by `ReadyQueue`. */
@@ -77,9 +95,9 @@
 
 /**
  * Orders restarts before all other starts, whatever their queue, since they only take back what
- * the task had. Then orders steps by queue priority, then by lateness class, then by earliest
- * deadline first. Jobs that can still be on time precede those that can only be late, which precede
- * expired ones, so that a burst makes some jobs late instead of all.
+ * the task had. Then orders steps that are of use to their callers before expired ones, then by
+ * queue priority, then by lateness class, so that a burst makes some jobs late instead of all. Jobs
+ * within their team's share precede those beyond it; the earliest deadline comes first.
  */
 class DeadlineStepOrder final : public StepOrder
 {
