--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -9,6 +9,7 @@
 #include "control/jobs/start_planner.h"
 #include "control/jobs/worker_pool.h"
 #include "control/outbox.h"
+#include "control/overload/team_shares.h"
 #include "control/placement/speed_learner.h"
 
 #include <deque>
@@ -192,6 +193,7 @@
     std::size_t m_loggedLimit = 0;
     SpeedLearner m_speeds;
     RunTracker m_runs;
+    TeamShares m_shares;
     StartPlanner m_planner;
     DecisionBatch m_decisions;
     /** Jobs with occurrences that have not begun yet. */
