Count answers before the listener sends them; return memory of bodies

Cause: an answer was counted when the listener's thread queued it, which may be far behind the thread that answers. The allocator raises its threshold for mapped buffers when a large one is freed, and then keeps the memory of bodies.

--- a/drivers/http_listener.cpp
+++ b/drivers/http_listener.cpp
@@ -151,6 +151,7 @@
     struct PendingRequest
     {
         MHD_Connection *connection = nullptr;
+        ConnectionId id;
         std::optional<HttpResponse> response;
     };
 
@@ -330,7 +331,7 @@
             return MHD_NO;
         ++m_unfinished;
         exchange.token = m_nextToken++;
-        m_pending[exchange.token].connection = connection;
+        m_pending[exchange.token] = {connection, exchange.connection, std::nullopt};
         // Suspended before the handler can respond, since respond() resumes the connection.
         MHD_suspend_connection(connection);
     }
@@ -408,6 +409,12 @@
     const auto found = m_pending.find(token);
     if (found == m_pending.end() || found->second.response.has_value())
         return;
+    // Counted here, since the listener's thread may be far behind those that answer. If the budget
+    // does not allow the answer, it closes the connection.
+    const Instant now = m_clock.now();
+    m_budget.enter(found->second.id, ConnectionPhase::Answering, now);
+    if (response.body != nullptr && !m_budget.hold(found->second.id, response.body->size(), now))
+        response.body = nullptr;
     found->second.response = std::move(response);
     MHD_resume_connection(found->second.connection);
 }
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -26,6 +26,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <malloc.h>
 
 namespace gentiancross {
 
@@ -36,6 +37,9 @@
 constexpr long MaxConnectionsPerWorker = 4;
 /** The settings file may change without a signal, so it is checked once a second. */
 constexpr int TicksPerFileCheck = 20;
+/** The allocator raises this threshold when a large buffer is freed, and then keeps the memory of
+ * bodies; entry hosts have too little for that. */
+constexpr int MappedBufferBytes = 64 << 10;
 /** A caller may resend a job some seconds late; the job must still be known then. */
 constexpr Milliseconds ResendMargin{30'000};
 
@@ -139,6 +143,8 @@
 {
     const platform::BootSettings &boot = settings.boot;
     startLog(LogFormat::Json, boot.node, LogStream::StandardOutput);
+    if (boot.dataFolder.empty())
+        ::mallopt(M_MMAP_THRESHOLD, MappedBufferBytes);
     JournalFile journal;
     absl::StatusOr<RecoveredHost> host
             = openStore(makeHostId(boot.ip, boot), boot.dataFolder, journal);
