Avoid a narrowing conversion in a placement test

clang-tidy reported a conversion from unsigned long to a signed type in the random mix of the placement test. The values and the decisions are the same; the tests of control/placement pass (13 test cases).

--- a/tests/control/placement/speed_cost_policy_test.cpp
+++ b/tests/control/placement/speed_cost_policy_test.cpp
@@ -113,9 +113,9 @@
     for (int number = 0; number < Workers; ++number)
         cell.addWorker(workerName(number), WorkerCores, "r" + std::to_string(number % 2));
     std::mt19937 random(seed);
-    const auto pick = [&](unsigned below) { return random() % below; };
+    const auto pick = [&](unsigned below) { return unsigned(random() % below); };
     for (int number = 0; number < 300; ++number) {
-        StepSpec step = makeStep(1 + pick(5), 500 * (1 + pick(4)));
+        StepSpec step = makeStep(1 + pick(5), 500 * (1 + std::int64_t(pick(4))));
         step.isGang = pick(5) == 0;
         step.prefersOneRack = step.isGang;
         step.maxPerWorker = pick(3);
