Look up the workers for a step once in each plan

Seen: in a burst on the heavy deployment the leader's processor is full; planning is the largest part (34% of the benchmark's samples).

Cause: each task of a step looked up the worker of each ticket by name, and each request to the adviser scanned the whole pool and copied the names of all candidates.

Change: the usable workers with a ticket are looked up once for all tasks of a step, steps of one plan share the scan for usable workers, a plan without a waiting step scans none, and ranks are updated without looking up jobs whose latest start has not passed. Whether a worker is usable does not change while starts are decided, so decisions stay the same.

All 214 cases of tests/control/jobs pass.

--- a/control/jobs/advice_lookahead.h
+++ b/control/jobs/advice_lookahead.h
@@ -30,6 +30,11 @@
     bool claim(const Job &job, const StepSpec &step, const Advice &advice, std::uint64_t tasks,
                bool mayHold);
 
+    /** The workers that are usable now, so that the steps of one plan share one look at each. */
+    [[nodiscard]] const std::vector<const PooledWorker *> &usableWorkers() const
+    {
+        return m_workers;
+    }
     /** Number of tasks for which capacity has been claimed. */
     [[nodiscard]] std::uint64_t claimedTasks() const;
     /** True if no step can claim any capacity. */
--- a/control/jobs/ready_queue.cpp
+++ b/control/jobs/ready_queue.cpp
@@ -65,9 +65,10 @@
 {
     std::vector<StepRef> passed;
     for (const ReadyStep &ready : m_steps) {
-        const bool hasDeadline
-                = !store.jobs.at(ready.step.job).spec.steps[ready.step.step].isLongRunning;
-        if (hasDeadline && ready.lateness != Lateness::Expired && now > ready.latestStart)
+        if (ready.lateness == Lateness::Expired || now <= ready.latestStart)
+            continue;
+        // Long-running steps have no deadline. This look-up is left out for all others that wait.
+        if (!store.jobs.at(ready.step.job).spec.steps[ready.step.step].isLongRunning)
             passed.push_back(ready.step);
     }
     for (const StepRef &step : passed)
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace gentiancross {
 
@@ -93,6 +94,8 @@
     m_hasChanged = false;
     m_hasDeferredStarts = false;
     m_queue.updateRanks(now, m_store);
+    if (m_queue.steps().empty())
+        return;
     AdviceLookahead lookahead(now, m_usage, m_pool);
     // Iterates over a copy, because starts change the set.
     const std::vector<ReadyStep> turns(m_queue.steps().begin(), m_queue.steps().end());
@@ -136,7 +139,7 @@
     // Further tickets would not let it start any earlier.
     if (isHeldBack && hasRoomWithTickets(now, ready.step, job, idle.size()))
         return;
-    requestAdvice(now, ready.step, job, out);
+    requestAdvice(now, ready.step, job, lookahead.usableWorkers(), out);
 }
 
 bool StartPlanner::planTasks(Instant now, const ReadyStep &ready, const Job &job,
@@ -144,13 +147,16 @@
 {
     const StepRef &ref = ready.step;
     const StepSpec &step = job.spec.steps[ref.step];
+    std::optional<std::vector<PooledWorker *>> workers;
     for (const std::uint32_t index : idleTasks(ref, ready.reason, job)) {
         if (!m_usage.isWithinCap(job.terms.team, step.perTask) || !isAdmitted())
             return true;
         const TaskProgress &task = job.occurrences.at(ref.occurrence).steps[ref.step][index];
         // Running it on another worker shows whether the task or the worker is at fault.
         const WorkerIncarnation *const failedOn = task.failures > 0 ? &task.worker : nullptr;
-        const PooledWorker *const worker = choose(now, ref, job, {nullptr, failedOn, {}});
+        if (!workers.has_value())
+            workers = findWorkers(now, ref, job);
+        const PooledWorker *const worker = choose(now, ref, job, *workers, {nullptr, failedOn, {}});
         if (worker == nullptr)
             return false;
         const WorkerIncarnation incarnation = worker->report.incarnation;
@@ -222,12 +228,10 @@
 {
     const StepSpec &step = job.spec.steps[ref.step];
     std::uint64_t room = 0;
-    m_advice.adviceFor(now, ref).forEachTicketHolder([&](const WorkerId &name) {
-        const PooledWorker *const worker = m_pool.findNewestIncarnation(name);
-        if (worker == nullptr || !costOn(now, *worker, ref, job, {}).has_value())
-            return;
-        room += step.isBestEffort ? 1 : wholeTasksOnWorker(worker->freeCapacity(), step);
-    });
+    for (const PooledWorker *const worker : findWorkers(now, ref, job)) {
+        if (costOn(now, *worker, ref, job, {}).has_value())
+            room += step.isBestEffort ? 1 : wholeTasksOnWorker(worker->freeCapacity(), step);
+    }
     return room >= tasks;
 }
 
@@ -256,10 +260,11 @@
                              std::vector<WorkerIncarnation> &places)
 {
     const StepSpec &step = job.spec.steps[ref.step];
+    const std::vector<PooledWorker *> workers = findWorkers(now, ref, job);
     std::map<WorkerIncarnation, std::uint32_t> planned;
     places.clear();
     while (places.size() < step.count) {
-        PooledWorker *const worker = choose(now, ref, job, {rack, nullptr, planned});
+        PooledWorker *const worker = choose(now, ref, job, workers, {rack, nullptr, planned});
         if (worker == nullptr)
             break;
         places.push_back(worker->report.incarnation);
@@ -272,28 +277,40 @@
     return places.size() == step.count;
 }
 
-PooledWorker *StartPlanner::choose(Instant now, const StepRef &ref, const Job &job,
-                                   const PlacementConstraints &constraints)
+std::vector<PooledWorker *> StartPlanner::findWorkers(Instant now, const StepRef &ref,
+                                                      const Job &job)
 {
-    PooledWorker *best = nullptr;
-    std::int64_t bestCost = 0;
+    std::vector<PooledWorker *> workers;
     const auto consider = [&](PooledWorker &worker) {
-        const std::optional<std::int64_t> cost = costOn(now, worker, ref, job, constraints);
-        if (cost.has_value() && (best == nullptr || *cost < bestCost)) {
-            best = &worker;
-            bestCost = *cost;
-        }
+        if (worker.report.pool == job.terms.pool && WorkerPool::isUsable(worker, now))
+            workers.push_back(&worker);
     };
     if (!job.terms.advice.has_value()) {
         for (auto &[incarnation, worker] : m_pool.all())
             consider(worker);
-        return best;
+        return workers;
     }
     // Only the workers with a ticket may run it, which are few in a large pool.
     m_advice.adviceFor(now, ref).forEachTicketHolder([&](const WorkerId &name) {
         if (PooledWorker *const worker = m_pool.findNewestIncarnation(name))
             consider(*worker);
     });
+    return workers;
+}
+
+PooledWorker *StartPlanner::choose(Instant now, const StepRef &ref, const Job &job,
+                                   const std::vector<PooledWorker *> &workers,
+                                   const PlacementConstraints &constraints)
+{
+    PooledWorker *best = nullptr;
+    std::int64_t bestCost = 0;
+    for (PooledWorker *const worker : workers) {
+        const std::optional<std::int64_t> cost = costOn(now, *worker, ref, job, constraints);
+        if (cost.has_value() && (best == nullptr || *cost < bestCost)) {
+            best = worker;
+            bestCost = *cost;
+        }
+    }
     return best;
 }
 
@@ -303,8 +320,7 @@
 {
     const StepSpec &step = job.spec.steps[ref.step];
     const WorkerIncarnation &incarnation = worker.report.incarnation;
-    if (worker.report.pool != job.terms.pool || !WorkerPool::isUsable(worker, now)
-        || !canRunOn(worker, step))
+    if (!canRunOn(worker, step))
         return std::nullopt;
     if (step.isBestEffort && now < worker.keptFromBestEffortUntil)
         return std::nullopt;
@@ -327,25 +343,26 @@
     return cost;
 }
 
-void StartPlanner::requestAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out)
+void StartPlanner::requestAdvice(Instant now, const StepRef &ref, const Job &job,
+                                 const std::vector<const PooledWorker *> &usable, Outbox &out)
 {
     if (!m_advice.canQuery(now, ref, *job.terms.advice))
         return;
     const StepSpec &step = job.spec.steps[ref.step];
     const Advice advice = m_advice.adviceFor(now, ref);
-    std::vector<std::pair<std::int64_t, WorkerId>> candidates;
-    for (const auto &[incarnation, worker] : m_pool.all()) {
-        if (!WorkerPool::isUsable(worker, now) || !couldRunWhenIdle(worker, job.terms.pool, step)
-            || advice.isUnsuitable(incarnation.worker)
-            || advice.ticket(incarnation.worker) != nullptr)
+    std::vector<std::pair<std::int64_t, const WorkerId *>> candidates;
+    for (const PooledWorker *const each : usable) {
+        const PooledWorker &worker = *each;
+        const WorkerId &name = worker.report.incarnation.worker;
+        if (!couldRunWhenIdle(worker, job.terms.pool, step) || advice.isUnsuitable(name)
+            || advice.ticket(name) != nullptr)
             continue;
         const std::int64_t far
                 = !step.dataRack.empty() && worker.report.rack.value() != step.dataRack ? 1 : 0;
         const bool slow = isSlow(worker.pace, m_pool.averagePace());
         const std::int64_t unfit = (canRunOn(worker, step) ? 0 : 1) + (slow ? 2 : 0);
         constexpr std::int64_t Rank = 1'000'000'000;
-        candidates.emplace_back((far + unfit) * Rank - worker.freeCapacity().cores.value(),
-                                incarnation.worker);
+        candidates.emplace_back((far + unfit) * Rank - worker.freeCapacity().cores.value(), &name);
     }
     if (candidates.empty())
         return;
@@ -354,10 +371,13 @@
                                                MaxQueriedWorkers),
                        candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + std::ptrdiff_t(wanted),
-                      candidates.end());
+                      candidates.end(), [](const auto &first, const auto &second) {
+                          return std::tie(first.first, *first.second)
+                                  < std::tie(second.first, *second.second);
+                      });
     std::vector<WorkerId> workers;
     for (std::size_t index = 0; index < wanted; ++index)
-        workers.push_back(candidates[index].second);
+        workers.push_back(*candidates[index].second);
     m_advice.query(now, ref, *job.terms.advice, std::move(workers), out);
 }
 
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -100,12 +100,21 @@
                                                                const StepSpec &step);
     /** False once the admission allows no more starts in this plan. */
     bool isAdmitted();
+    /** The usable workers of the job's pool, if the step needs tickets those with a valid one. They
+     * stay the same while starts are decided, so one look-up serves all tasks of a step. */
+    [[nodiscard]] std::vector<PooledWorker *> findWorkers(Instant now, const StepRef &ref,
+                                                          const Job &job);
     bool placeGang(Instant now, const StepRef &ref, const Job &job, const RackId *rack,
                    std::vector<WorkerIncarnation> &places);
-    void requestAdvice(Instant now, const StepRef &ref, const Job &job, Outbox &out);
+    /** \a usable are the workers that are usable now, of all pools. */
+    void requestAdvice(Instant now, const StepRef &ref, const Job &job,
+                       const std::vector<const PooledWorker *> &usable, Outbox &out);
+    /** Returns the best of \a workers, which `findWorkers` has returned; null if there is none. */
     [[nodiscard]] PooledWorker *choose(Instant now, const StepRef &ref, const Job &job,
+                                       const std::vector<PooledWorker *> &workers,
                                        const PlacementConstraints &constraints);
-    /** Cost of running the step's next task on \a worker; nullopt if it may not run there. */
+    /** Cost of running the step's next task on \a worker; nullopt if it may not run there.
+     * Precondition: `findWorkers` has returned the worker. */
     [[nodiscard]] std::optional<std::int64_t> costOn(Instant now, const PooledWorker &worker,
                                                      const StepRef &ref, const Job &job,
                                                      const PlacementConstraints &constraints);
