Wait for the workers with tickets before asking the adviser again

Cause: a step that had tickets for enough workers, all full at that moment, asked about 20 more as soon as an answer had arrived, although its workers became free before the tickets expired.

Change: a step whose approved workers could run four times its waiting tasks waits 0.5 s for them, then asks only about workers that have room now. The number of workers asked about follows the tasks that still wait. The benchmark draws arrivals apart from answers, so that both sides get the same jobs, and reports the waits of long jobs.

The new test fails before the change. Not measured on a deployment.

--- a/benchmarks/cell_bench.cpp
+++ b/benchmarks/cell_bench.cpp
@@ -88,6 +88,9 @@
     std::vector<double> waits = load.waits();
     report.add({"wait of short jobs, p50" + name, quantile(waits, 0.5), "ms", Seed, waits.size()});
     report.add({"wait of short jobs, p95" + name, quantile(waits, 0.95), "ms", Seed, waits.size()});
+    waits = load.waits(false);
+    report.add({"wait of long jobs, p50" + name, quantile(waits, 0.5), "ms", Seed, waits.size()});
+    report.add({"wait of long jobs, p95" + name, quantile(waits, 0.95), "ms", Seed, waits.size()});
 }
 
 } // namespace
--- a/benchmarks/cell_load.cpp
+++ b/benchmarks/cell_load.cpp
@@ -48,6 +48,7 @@
 CellLoad::CellLoad(const CellShape &shape, std::uint32_t seed)
     : m_shape(shape)
     , m_random(seed)
+    , m_arrivals(seed + 1)
     , m_leader(m_now, {HostId("self"), Fence(5), "self:1"}, {})
 {
     ConfigDocument document;
@@ -80,7 +81,7 @@
 
 double CellLoad::drawExponential(double mean)
 {
-    return -mean * std::log(1.0 - std::uniform_real_distribution<double>(0.0, 1.0)(m_random));
+    return -mean * std::log(1.0 - std::uniform_real_distribution<double>(0.0, 1.0)(m_arrivals));
 }
 
 void CellLoad::schedule(Milliseconds delay, Action action)
@@ -256,7 +257,7 @@
                      m_shortJobs.insert(id);
                  JobSpec spec;
                  spec.payload = std::string(PayloadBytes, 'x');
-                 const int steps = isShort ? 1 + int(m_random() % 10 < 6) : 2;
+                 const int steps = isShort ? 1 + int(m_arrivals() % 10 < 6) : 2;
                  for (int number = 0; number < steps; ++number) {
                      StepSpec step;
                      const double width
@@ -280,13 +281,14 @@
              });
 }
 
-std::vector<double> CellLoad::waits() const
+std::vector<double> CellLoad::waits(bool areShort) const
 {
     std::vector<double> waits;
-    for (const JobId &job : m_shortJobs) {
+    for (const auto &[job, accepted] : m_accepted) {
+        if (m_shortJobs.contains(job) != areShort)
+            continue;
         const auto started = m_waits.find(job);
-        const Milliseconds wait
-                = started == m_waits.end() ? m_now - m_accepted.at(job) : started->second;
+        const Milliseconds wait = started == m_waits.end() ? m_now - accepted : started->second;
         waits.push_back(double(wait.value()));
     }
     return waits;
--- a/benchmarks/cell_load.h
+++ b/benchmarks/cell_load.h
@@ -56,8 +56,9 @@
     /** Calls to the adviser, and the time that it takes for them. */
     [[nodiscard]] std::uint64_t adviserCalls() const { return m_adviserCalls; }
     [[nodiscard]] double adviserSeconds() const { return m_adviserSeconds; }
-    /** By short job, the time in milliseconds from acceptance to the first start, or until now. */
-    [[nodiscard]] std::vector<double> waits() const;
+    /** By short or by long job, the time in milliseconds from acceptance to the first start, or
+     * until now. */
+    [[nodiscard]] std::vector<double> waits(bool areShort = true) const;
 
 private:
     using Action = std::function<void()>;
@@ -98,10 +99,13 @@
     void advise(const HostId &host, const AdviceRequest &request);
     void sendHeartbeat(const WorkerIncarnation &incarnation);
     void scheduleArrival(bool isShort);
+    /** For arrivals only. */
     [[nodiscard]] double drawExponential(double mean);
 
     CellShape m_shape;
     std::minstd_rand m_random;
+    /** Separate, so that the same jobs arrive whatever the leader decides. */
+    std::minstd_rand m_arrivals;
     Instant m_now{100'000};
     Milliseconds m_wall{1'000'000'000};
     Outbox m_out{false};
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -15,6 +15,12 @@
 /** A query names enough workers for the step to find free capacity on those approved. */
 constexpr std::size_t MinQueriedWorkers = 10;
 constexpr std::size_t MaxQueriedWorkers = 28;
+/** The workers with a ticket are enough if they could run this many times the waiting tasks once
+ * their present runs have ended, since other steps have tickets for them too. */
+constexpr std::uint64_t ApprovedRoomFactor = 4;
+/** A step that has enough such workers waits this long for them, most of a short run. After that
+ * advice is requested for workers that have room now. */
+constexpr Milliseconds MaxWaitForApproved{500};
 /** Advice is requested for at most this many times the admission limit: further tickets would
  * expire before their starts. */
 constexpr std::size_t AdviceAheadFactor = 4;
@@ -26,6 +32,16 @@
  * target. */
 constexpr Milliseconds MaxWaitForWorker{2000};
 
+/** The tasks of the step that neither run nor are done. */
+std::uint64_t countIdleTasks(const StepRef &ref, const Job &job)
+{
+    const std::vector<TaskProgress> &tasks = job.occurrences.at(ref.occurrence).steps[ref.step];
+    return static_cast<std::uint64_t>(
+            std::count_if(tasks.begin(), tasks.end(), [](const TaskProgress &task) {
+                return !task.mayStillRun && !task.isDone;
+            }));
+}
+
 } // namespace
 
 StartPlanner::StartPlanner(const JobStoreData &store, WorkerPool &pool, AdviceCoordinator &advice,
@@ -349,27 +365,34 @@
     if (!m_advice.canQuery(now, ref, *job.terms.advice))
         return;
     const StepSpec &step = job.spec.steps[ref.step];
+    const std::uint64_t idle = countIdleTasks(ref, job);
+    std::uint64_t approved = 0;
+    for (const PooledWorker *const worker : findWorkers(now, ref, job))
+        approved += wholeTasksOnWorker(worker->capacityBesideLongRunning(), step);
+    const bool hasEnoughApproved = approved >= idle * ApprovedRoomFactor;
+    if (hasEnoughApproved && m_holds.waitedFor(now, ref) < MaxWaitForApproved)
+        return;
     const Advice advice = m_advice.adviceFor(now, ref);
     std::vector<std::pair<std::int64_t, const WorkerId *>> candidates;
     for (const PooledWorker *const each : usable) {
         const PooledWorker &worker = *each;
         const WorkerId &name = worker.report.incarnation.worker;
-        if (!couldRunWhenIdle(worker, job.terms.pool, step) || advice.isUnsuitable(name)
-            || advice.ticket(name) != nullptr)
+        const bool isFree = canRunOn(worker, step);
+        if (!couldRunWhenIdle(worker, job.terms.pool, step) || (hasEnoughApproved && !isFree)
+            || advice.isUnsuitable(name) || advice.ticket(name) != nullptr)
             continue;
         const std::int64_t far
                 = !step.dataRack.empty() && worker.report.rack.value() != step.dataRack ? 1 : 0;
         const bool slow = isSlow(worker.pace, m_pool.averagePace());
-        const std::int64_t unfit = (canRunOn(worker, step) ? 0 : 1) + (slow ? 2 : 0);
+        const std::int64_t unfit = (isFree ? 0 : 1) + (slow ? 2 : 0);
         constexpr std::int64_t Rank = 1'000'000'000;
         candidates.emplace_back((far + unfit) * Rank - worker.freeCapacity().cores.value(), &name);
     }
     if (candidates.empty())
         return;
-    const std::size_t wanted
-            = std::min(std::clamp<std::size_t>(std::size_t(step.count) * 2, MinQueriedWorkers,
-                                               MaxQueriedWorkers),
-                       candidates.size());
+    const std::size_t wanted = std::min(
+            std::clamp<std::size_t>(std::size_t(idle) * 2, MinQueriedWorkers, MaxQueriedWorkers),
+            candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + std::ptrdiff_t(wanted),
                       candidates.end(), [](const auto &first, const auto &second) {
                           return std::tie(first.first, *first.second)
--- a/tests/control/jobs/start_planner_test.cpp
+++ b/tests/control/jobs/start_planner_test.cpp
@@ -216,6 +216,12 @@
         m_now = m_now + Advice.validity;
         m_admission.onStartOrdered(m_now, CallId(2));
     }
+    /** Lets time pass while the admission limit stays reached. */
+    void advance(Milliseconds span)
+    {
+        m_now = m_now + span;
+        m_admission.onStartOrdered(m_now, CallId(3));
+    }
     [[nodiscard]] std::size_t starts() const { return m_starts.count; }
 
 private:
@@ -421,3 +427,25 @@
         CHECK(bench.plan().size() == 1);
     }
 }
+
+// Guards against an adviser that is asked again and again about a step, which has tickets for
+// enough workers and waits until their runs end: three calls for each step that was started.
+TEST_CASE("A step with tickets for enough workers waits before it requests further advice")
+{
+    constexpr int Approved = 10;
+    PlannerBench bench("00000000000000aa", makeStep(2, 200));
+    REQUIRE(bench.plan().size() == 1);
+    bench.approve(1, Approved);
+    for (int number = 0; number < Approved; ++number)
+        bench.fill("w" + std::to_string(number));
+    bench.fill("w20");
+    CHECK(bench.plan().empty());
+    // Room elsewhere must not stay idle for long.
+    bench.advance(Milliseconds(600));
+    const std::vector<AdviceRequest> requests = bench.plan();
+    REQUIRE(requests.size() == 1);
+    const std::vector<WorkerId> &asked = requests[0].workers;
+    CHECK_FALSE(asked.empty());
+    CHECK(std::find(asked.begin(), asked.end(), WorkerId("w20")) == asked.end());
+    CHECK(std::find(asked.begin(), asked.end(), WorkerId("w0")) == asked.end());
+}
