Let expired steps use hosts of the adviser that would be idle

Callers of the claims deployment: after a burst hundreds of expired steps wait. Cause, by the log: with a step of other work waiting for advice, expired steps got one query at a time, 0.75 s each, and those ahead claimed the free capacity of the look-ahead while they waited for their turn. Expired steps now also use calling hosts as long as more than half of them are free; other work finds a free host as before.

--- a/control/jobs/advice_coordinator.cpp
+++ b/control/jobs/advice_coordinator.cpp
@@ -47,15 +47,26 @@
         return false;
     if (terms.baseMicroseconds < LongDecisionMicroseconds)
         return true;
-    std::size_t present = 0;
-    std::size_t free = 0;
+    const HostCount hosts = countHosts(now);
+    return hosts.present <= HostsForShortQueries || hosts.free > HostsForShortQueries;
+}
+
+bool AdviceCoordinator::hasSpareHosts(Instant now) const
+{
+    const HostCount hosts = countHosts(now);
+    return hosts.free * 2 > hosts.present;
+}
+
+AdviceCoordinator::HostCount AdviceCoordinator::countHosts(Instant now) const
+{
+    HostCount hosts;
     for (const auto &[host, caller] : m_hosts) {
         if (host != m_self && now - caller.lastSeen > MaxReportAge)
             continue;
-        ++present;
-        free += caller.availableAt <= now ? 1 : 0;
+        ++hosts.present;
+        hosts.free += caller.availableAt <= now ? 1 : 0;
     }
-    return present <= HostsForShortQueries || free > HostsForShortQueries;
+    return hosts;
 }
 
 bool AdviceCoordinator::isQuerying(const StepRef &step) const
--- a/control/jobs/advice_coordinator.h
+++ b/control/jobs/advice_coordinator.h
@@ -83,6 +83,9 @@
     /** True if no query about the step is in flight and a host is available. Long queries leave
      * some hosts free for short ones. */
     [[nodiscard]] bool canQuery(Instant now, const StepRef &step, const AdviceTerms &terms) const;
+    /** True if more than half of the hosts that call the adviser are free, so that further queries
+     * leave some for others. */
+    [[nodiscard]] bool hasSpareHosts(Instant now) const;
     /** True if a query about the step is in flight. */
     [[nodiscard]] bool isQuerying(const StepRef &step) const;
     /** Queries the adviser about \a workers, through the host that is available first. */
@@ -116,6 +119,14 @@
         Instant availableAt;
     };
 
+    /** The hosts that can call the adviser, and those of them without a query in flight. */
+    struct HostCount
+    {
+        std::size_t present = 0;
+        std::size_t free = 0;
+    };
+
+    [[nodiscard]] HostCount countHosts(Instant now) const;
     [[nodiscard]] HostId chooseHost(Instant now);
     void finishQuery(Instant now, std::map<AdviceRequestId, Query>::iterator found,
                      const AdviceResponse &response, Outbox &out);
--- a/control/jobs/start_planner.cpp
+++ b/control/jobs/start_planner.cpp
@@ -156,18 +156,20 @@
     // Further tickets would not let it start any earlier.
     if (isHeldBack && hasRoomWithTickets(now, ready.step, job, idle.size()))
         return;
-    if (mayRequestAdvice(ready))
+    if (mayRequestAdvice(now, ready))
         requestAdvice(now, ready, job, lookahead.usableWorkers(), out);
 }
 
-bool StartPlanner::mayRequestAdvice(const ReadyStep &ready)
+bool StartPlanner::mayRequestAdvice(Instant now, const ReadyStep &ready)
 {
     if (ready.lateness != Lateness::Expired) {
         m_isAdviceAwaited = true;
         return true;
     }
-    // One query at a time goes on, since steps that wait for advice need not ever get it.
-    if (m_isAdviceAwaited && m_expiredQuery.has_value() && m_advice.isQuerying(*m_expiredQuery))
+    // Hosts that would be idle may be used. Beyond that one query at a time goes on, since steps
+    // that wait for advice need not ever get it.
+    const bool isQueryInFlight = m_expiredQuery.has_value() && m_advice.isQuerying(*m_expiredQuery);
+    if (m_isAdviceAwaited && isQueryInFlight && !m_advice.hasSpareHosts(now))
         return false;
     m_expiredQuery = ready.step;
     return true;
--- a/control/jobs/start_planner.h
+++ b/control/jobs/start_planner.h
@@ -116,7 +116,7 @@
                    std::vector<WorkerIncarnation> &places);
     /** False while a request for an expired step would take the adviser's time from other steps.
      */
-    bool mayRequestAdvice(const ReadyStep &ready);
+    bool mayRequestAdvice(Instant now, const ReadyStep &ready);
     /** \a usable are the workers that are usable now, of all pools. */
     void requestAdvice(Instant now, const ReadyStep &ready, const Job &job,
                        const std::vector<const PooledWorker *> &usable, Outbox &out);
