--- a/tests/control/overload/slot_server.cpp
+++ b/tests/control/overload/slot_server.cpp
@@ -38,11 +38,14 @@
 {
     m_queue.updateRanks(now, m_store);
     std::erase_if(m_busyUntil, [now](Instant until) { return until <= now; });
-    while (Slots(std::int64_t(m_busyUntil.size())) < m_slots && !m_queue.steps().empty())
-        start(now, m_queue.steps().begin()->step.job);
+    while (Slots(std::int64_t(m_busyUntil.size())) < m_slots && !m_queue.steps().empty()) {
+        // The queue's entry does not outlive the start.
+        const JobId next = m_queue.steps().begin()->step.job;
+        start(now, next);
+    }
 }
 
-void SlotServer::start(Instant now, JobId id)
+void SlotServer::start(Instant now, const JobId &id)
 {
     const auto [job, arrivedAt] = m_waiting.at(id);
     const Milliseconds took = now + job.work - arrivedAt;
--- a/tests/control/overload/slot_server.h
+++ b/tests/control/overload/slot_server.h
@@ -54,7 +54,7 @@
         Instant arrivedAt;
     };
 
-    void start(Instant now, JobId id);
+    void start(Instant now, const JobId &id);
 
     ReadyQueue m_queue;
     Slots m_slots;
