--- a/tests/drivers/connection_budget_test.cpp
+++ b/tests/drivers/connection_budget_test.cpp
@@ -170,7 +170,7 @@
 {
     const ConnectionLimits smallest = deriveConnectionLimits(Mebibytes(120), 3075);
     CHECK(smallest.connectionsPerClient >= 1000);
-    CHECK(smallest.bytes >= 100 * 262'144);
+    CHECK(smallest.bytes >= std::size_t(100) * 262'144);
     const ConnectionLimits keeper = deriveConnectionLimits(Mebibytes(384), 4096);
-    CHECK(keeper.bytes >= 20 * (4 << 20));
+    CHECK(keeper.bytes >= std::size_t(20) * (4 << 20));
 }
