Test crowds that send bodies of valid JSON

The cases of `make clients` sent bodies that are no JSON, which cost no more than their bytes. Bodies that a client of the system would send are valid, and cost up to a hundred times as much once they are decoded and stored.

The memory of both hosts is checked, and beside every crowd, the former ones too, an ordinary job of another organisation must be accepted. The former `calm` counts a 400 as served; it stays.

--- a/tests/clients/client_crowd.cpp
+++ b/tests/clients/client_crowd.cpp
@@ -1,11 +1,14 @@
 #include "tests/clients/client_crowd.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <poll.h>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -28,6 +31,19 @@
     return address;
 }
 
+/** Replaces the marks in \a wire by numbers after \a last; empty if there are none. */
+std::string withJobNumbers(const std::string &wire, std::uint64_t &last)
+{
+    const std::string_view mark = ClientScript::JobNumberMark;
+    std::size_t position = wire.find(mark);
+    if (position == std::string::npos)
+        return {};
+    std::string numbered = wire;
+    for (; position != std::string::npos; position = wire.find(mark, position + mark.size()))
+        numbered.replace(position, mark.size(), absl::StrCat(absl::Hex(++last, absl::kZeroPad16)));
+    return numbered;
+}
+
 bool isTemporary(int error)
 {
     return error == EAGAIN || error == EINPROGRESS || error == ENOTCONN || error == EINTR;
@@ -66,9 +82,21 @@
     }
 }
 
-void ClientCrowd::connect(Client &client, const std::string &sourceIp) const
+const std::string &ClientCrowd::wireOf(const Client &client) const
+{
+    return client.wire.empty() ? m_script.wire : client.wire;
+}
+
+std::size_t ClientCrowd::sendableBytes(const Client &client) const
+{
+    const std::size_t size = wireOf(client).size();
+    return m_isReleased ? size : std::min(size, m_script.waitAt);
+}
+
+void ClientCrowd::connect(Client &client, const std::string &sourceIp)
 {
     client.sent = 0;
+    client.wire = withJobNumbers(m_script.wire, m_lastJobNumber);
     client.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (!m_script.readsAnswers)
         ::setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
@@ -84,7 +112,7 @@
 
 bool ClientCrowd::wantsToSend(const Client &client, Time now) const
 {
-    return client.sent < m_script.wire.size()
+    return client.sent < sendableBytes(client)
             && (client.sent < m_script.trickleFrom || now >= client.nextAction);
 }
 
@@ -92,8 +120,8 @@
 {
     const bool isTrickling = client.sent >= m_script.trickleFrom;
     const std::size_t end
-            = isTrickling ? client.sent + 1 : std::min(m_script.trickleFrom, m_script.wire.size());
-    const ssize_t count = ::send(client.socket, m_script.wire.data() + client.sent,
+            = isTrickling ? client.sent + 1 : std::min(m_script.trickleFrom, sendableBytes(client));
+    const ssize_t count = ::send(client.socket, wireOf(client).data() + client.sent,
                                  std::min(end - client.sent, SendBytes), MSG_NOSIGNAL);
     if (count < 0)
         return isTemporary(errno);
--- a/tests/clients/client_crowd.h
+++ b/tests/clients/client_crowd.h
@@ -14,10 +14,15 @@
 /** What each client of a crowd sends, and whether it reads answers. */
 struct ClientScript
 {
+    /** Each JobNumberMark in it is replaced by a number that no other request of the crowd has. */
     std::string wire;
     /** From this offset on, one byte is sent per TrickleInterval. */
     std::size_t trickleFrom = std::string::npos;
     bool readsAnswers = true;
+    /** What follows this offset is not sent before ClientCrowd::release. */
+    std::size_t waitAt = std::string::npos;
+
+    static constexpr char JobNumberMark[] = "################";
 };
 
 /**
@@ -38,6 +43,8 @@
 
     void start();
     void stop();
+    /** Lets the clients send what follows ClientScript::waitAt. */
+    void release() { m_isReleased = true; }
     /** How many connections the server has closed so far. */
     [[nodiscard]] std::size_t closedConnections() const { return m_closed; }
 
@@ -47,12 +54,17 @@
     struct Client
     {
         int socket = -1;
+        /** With its own job numbers; empty if the script has none. */
+        std::string wire;
         std::size_t sent = 0;
         Time nextAction;
     };
 
     void run();
-    void connect(Client &client, const std::string &sourceIp) const;
+    void connect(Client &client, const std::string &sourceIp);
+    [[nodiscard]] const std::string &wireOf(const Client &client) const;
+    /** How much of the wire may be sent at present. */
+    [[nodiscard]] std::size_t sendableBytes(const Client &client) const;
     /** Reads and sends what is possible; closes the client's socket if the server has. */
     void serve(Client &client, short readiness, Time now);
     bool send(Client &client, Time now) const;
@@ -64,7 +76,9 @@
     std::uint16_t m_port;
     std::vector<std::string> m_sourceIps;
     std::vector<Client> m_clients;
+    std::uint64_t m_lastJobNumber = 0;
     std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isReleased = false;
     std::atomic<std::size_t> m_closed = 0;
     std::thread m_thread;
 };
--- a/tests/clients/small_cell.cpp
+++ b/tests/clients/small_cell.cpp
@@ -1,6 +1,7 @@
 #include "tests/clients/small_cell.h"
 
 #include "drivers/codec.h"
+#include "tests/clients/job_bodies.h"
 #include "tests/runner/spawn.h"
 
 #include <absl/strings/str_cat.h>
@@ -25,6 +26,9 @@
 constexpr std::chrono::milliseconds RetryInterval{100};
 constexpr Milliseconds CallTimeout{5000};
 constexpr std::size_t KibibytesPerMebibyte = 1024;
+/** Numbers of jobs that no crowd submits; in hexadecimal they have 16 digits. */
+constexpr std::uint64_t FirstOrdinaryJob = 0xf000'0000'0000'0000;
+constexpr char OrdinaryKey[] = "ordinary";
 
 /** Repeats \a attempt until it returns true; false once ServingTimeout is over. */
 bool retry(const std::function<bool()> &attempt)
@@ -55,7 +59,9 @@
     route["stretch"] = 1.5;
     json["services"][0]["name"] = "pool";
     json["tenants"][0]["name"] = "alpha";
-    json["tenants"][0]["api_keys"].append("key");
+    json["tenants"][0]["api_keys"].append(SmallCell::CrowdKey);
+    json["tenants"][1]["name"] = "beta";
+    json["tenants"][1]["api_keys"].append(OrdinaryKey);
     json["padding"] = std::string(bytes, 'p');
     return codec::formatJson(json);
 }
@@ -132,13 +138,13 @@
 }
 
 HttpResult SmallCell::call(const std::string &method, const std::string &url,
-                           const std::string &body)
+                           const std::string &body, const std::string &key)
 {
     HttpClient client;
     HttpCall call;
     call.method = method;
     call.url = url;
-    call.headers = {{"Authorization", "Token key"}, {"Host", "jobs.example"}};
+    call.headers = {{"Authorization", "Token " + key}, {"Host", "jobs.example"}};
     if (!body.empty())
         call.body = std::make_shared<const std::string>(body);
     call.timeout = CallTimeout;
@@ -165,6 +171,16 @@
     return isStored && answersOrdinaryCalls();
 }
 
+bool SmallCell::acceptsOrdinaryJob()
+{
+    const std::string url = absl::StrCat("http://", EntryIp, ":", FrontPort, "/q/",
+                                         absl::Hex(FirstOrdinaryJob + ++m_ordinaryJobs));
+    return retry([&url] {
+        const HttpResult submission = call("POST", url, jobbodies::oneTask(), OrdinaryKey);
+        return submission.outcome == CallOutcome::Answered && submission.response.status == 200;
+    });
+}
+
 bool SmallCell::answersOrdinaryCalls()
 {
     // 410: the leader knows the key and the route, and no such job.
@@ -178,7 +194,8 @@
                            "GET",
                            absl::StrCat("http://", KeeperIp, ":", ControlPort, "/config/get"), {});
                    return read.outcome == CallOutcome::Answered && read.response.status == 200;
-               });
+               })
+            && acceptsOrdinaryJob();
 }
 
 } // namespace gentiancross::tests
--- a/tests/clients/small_cell.h
+++ b/tests/clients/small_cell.h
@@ -30,11 +30,14 @@
 
 /**
  * A keeper and an entry host as real processes on loopback addresses, with a configuration of one
- * route and one key. The destructor kills both. Thread safety: one thread.
+ * route and two organisations with a key each. The destructor kills both. Thread safety: one
+ * thread.
  */
 class SmallCell
 {
 public:
+    /** The crowds' key; ordinary callers that submit jobs have one of another organisation. */
+    static constexpr char CrowdKey[] = "key";
     static constexpr char KeeperIp[] = "127.77.1.1";
     static constexpr char EntryIp[] = "127.77.1.2";
     static constexpr std::uint16_t ControlPort = 8180;
@@ -51,23 +54,26 @@
     /** Starts both processes and stores the configuration, padded to about \a configurationBytes.
      * Returns false if the cell does not serve within 30 s. */
     bool start(std::size_t configurationBytes);
-    /** Makes ordinary calls, of a caller at the entry host and of the operator at the keeper, until
-     * both are answered; false if one is not answered within 30 s. */
+    /** Makes ordinary calls, of callers at the entry host and of the operator at the keeper, until
+     * each is answered; false if one is not answered within 30 s. */
     bool answersOrdinaryCalls();
     /** Makes one call and waits for its end. */
     static HttpResult call(const std::string &method, const std::string &url,
-                           const std::string &body);
+                           const std::string &body, const std::string &key = CrowdKey);
 
     [[nodiscard]] const HostProcess &keeper() const { return m_keeper; }
     [[nodiscard]] const HostProcess &entry() const { return m_entry; }
 
 private:
     void startProcess(HostProcess &host, const std::string &name, bool isKeeper) const;
+    /** Submits a job of one task until it is accepted. */
+    bool acceptsOrdinaryJob();
 
     std::string m_binary;
     std::string m_folder;
     HostProcess m_keeper;
     HostProcess m_entry;
+    std::uint64_t m_ordinaryJobs = 0;
 };
 
 } // namespace gentiancross::tests
