--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/boot_settings.h"
 #include "platform/call_wire.h"
+#include "platform/job_decoder.h"
 #include "platform/job_wire.h"
 #include "platform/worker_wire.h"
 
