Refuse configurations that need a large tree of JSON values

The values of a text are counted without any allocation before a tree is built. The largest configurations of the target size have some 10,000 values beside their routes.

--- a/tests/platform/document_decoder_test.cpp
+++ b/tests/platform/document_decoder_test.cpp
@@ -42,6 +42,28 @@
 
 } // namespace
 
+// Guards against a keeper that runs out of memory by a document of 8 MiB, which takes 50 times its
+// text when it is decoded as a tree.
+TEST_CASE("A document of more values than any configuration has is refused before it is decoded")
+{
+    const auto isDecoded
+            = [](const std::string &begin, const std::string &element, const std::string &end) {
+                  std::string body = begin + element;
+                  while (body.size() < 400'000)
+                      body += ',' + element;
+                  DocumentDecoder documents;
+                  std::string defect;
+                  const bool hasDocument = documents.decode(body + end, defect).has_value();
+                  CHECK(hasDocument == defect.empty());
+                  return hasDocument;
+              };
+    CHECK_FALSE(isDecoded(R"({"version":1,"services":[],"routes":[)", "0", "]}"));
+    CHECK_FALSE(isDecoded(R"({"version":1,"services":[],"routes":[)", "{}", "]}"));
+    CHECK_FALSE(isDecoded(R"({"version":1,"services":[],"routes":[],"other":[)", "0", "]}"));
+    CHECK_FALSE(isDecoded(R"({"version":1,"services":[],"routes":[{"name":[)", "0", "]}]}"));
+    CHECK(isDecoded(R"({"version":1,"services":[],"routes":[],"other":[)", R"("0,0,0,0")", "]}"));
+}
+
 TEST_CASE("Only the changed routes of a large configuration are decoded")
 {
     // Guards against a keeper that is late with leases since each version of a configuration of
