Bound the memory of decoded calls until their decision

Nothing counted a call from its decoding on, and each copy of it in the relay, in a message and in a repetition was a copy of all steps. The queue to the leader reckoned with 512 bytes for a submission of any size, and a sender that waited for messages kept its last batch.

A submission's specification is shared by its copies, and its memory is reserved from a budget of the process, a twelfth of its memory by default, as long as a copy is held. Without a reservation it is dropped, and the leader answers the rest of the call: 200 if the job is stored, or 503 with Retry-After, so that a 503 is never the answer for a job that runs. The leader does the same for calls that are relayed to it. The bytes of a request that was handed on no longer count against the connections. Submissions of more than 64 KB have a sender of their own, so that ordinary calls don't wait behind them on slow links.

Setting: limits.undecided_mb.

--- a/control/jobs/call_handler.cpp
+++ b/control/jobs/call_handler.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t JobIdLength = 16;
+/** Calls that wait are decided within a few commits of the log. */
+constexpr Milliseconds ShedRetryDelay{1000};
 
 /** The reason why the job can't be run as specified; empty if it can. */
 std::optional<std::string> findDefect(const JobSpec &spec)
@@ -87,9 +89,10 @@
         m_waiting[job->second.terms.queue].erase(id);
 }
 
-void CallHandler::refuse(const CallOrigin &origin, Refusal refusal, std::string reason)
+void CallHandler::refuse(const CallOrigin &origin, Refusal refusal, std::string reason,
+                         Milliseconds retryAfter)
 {
-    m_decisions.answer(origin, CallRefused{refusal, std::move(reason), {}});
+    m_decisions.answer(origin, CallRefused{refusal, std::move(reason), retryAfter});
 }
 
 bool CallHandler::isRepeatedSubmission(const CallOrigin &origin, const JobCall &call) const
@@ -163,13 +166,22 @@
         m_decisions.answer(origin, CallDone{});
         return;
     }
-    const std::optional<std::string> defect
-            = call.spec.has_value() ? findDefect(*call.spec) : call.defect;
+    std::optional<std::string> defect;
+    if (call.spec.has_value())
+        defect = findDefect(*call.spec);
+    else if (!call.isShed)
+        defect = call.defect;
     if (defect.has_value()) {
         out.note(id, absl::StrCat("job refused: ", *defect));
         refuse(origin, Refusal::Malformed, *defect);
         return;
     }
+    if (call.isShed) {
+        out.count(CellEvent::SubmissionShed);
+        refuse(origin, Refusal::Unavailable, "too many large jobs wait for a decision",
+               ShedRetryDelay);
+        return;
+    }
     JobAccepted record;
     record.id = JobId(id);
     record.terms = {queue.queue,           queue.pool,        team,
--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -55,7 +55,8 @@
     void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
     void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
-    void refuse(const CallOrigin &origin, Refusal refusal, std::string reason);
+    void refuse(const CallOrigin &origin, Refusal refusal, std::string reason,
+                Milliseconds retryAfter = {});
     [[nodiscard]] std::uint64_t waitingCount(const QueueId &queue) const;
 
     const JobStoreData &m_store;
--- a/core/job_calls.h
+++ b/core/job_calls.h
@@ -38,15 +38,18 @@
     std::string host;
     std::string path;
     std::optional<ApiKey> key;
-    /** For Submit; empty if the body could not be parsed. */
-    std::optional<JobSpec> spec;
+    /** For Submit; empty if the body could not be parsed or the call was shed. */
+    SharedJobSpec spec;
     /** Why the body could not be parsed. */
     std::string defect;
+    /** True if a host on the way had no memory for the specification. */
+    bool isShed = false;
 
     template <typename Self>
     static auto fields(Self &self)
     {
-        return std::tie(self.verb, self.host, self.path, self.key, self.spec, self.defect);
+        return std::tie(self.verb, self.host, self.path, self.key, self.spec, self.defect,
+                        self.isShed);
     }
 };
 
--- /dev/null
+++ b/core/job_size.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/job_records.h"
+
+namespace gentiancross {
+
+/** Estimates of the memory that jobs take, and of their size in messages and in the log. All
+ * functions are reentrant. */
+
+/** The memory of a decoded specification. */
+Bytes decodedBytes(const JobSpec &spec);
+/** The size of a specification in a message or a record. */
+Bytes encodedBytes(const JobSpec &spec);
+
+} // namespace gentiancross
--- a/core/jobs.h
+++ b/core/jobs.h
@@ -177,6 +177,9 @@
     }
 };
 
+/** A specification of thousands of steps takes some MB; the messages in flight share it. */
+using SharedJobSpec = SharedValue<JobSpec>;
+
 /** The cost of asking the adviser about one step, and the validity of its answer. */
 struct AdviceTerms
 {
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -96,6 +96,8 @@
     EvacuationOrderRefused,
     /** A start was decided for a worker in an evacuated data centre and was not sent. */
     EvacuatedStartAbandoned,
+    /** A submission was refused because a host on its way had no memory to hold it. */
+    SubmissionShed,
 };
 
 /** Time spans that are measured. */
--- a/core/record_size.cpp
+++ b/core/record_size.cpp
@@ -1,5 +1,7 @@
 #include "core/record_size.h"
 
+#include "core/job_size.h"
+
 namespace gentiancross {
 
 namespace {
@@ -69,14 +71,13 @@
 
 /** The size of a record without texts of callers or operators. */
 constexpr std::size_t PlainRecordBytes = 160;
-constexpr std::size_t StepBytes = 120;
 /** A configuration is encoded twice: as its source and as the parsed values. */
 constexpr std::size_t DocumentCopies = 2;
 
 std::size_t bytesOf(const JobRecord &record)
 {
     if (const auto *job = std::get_if<JobAccepted>(&record))
-        return PlainRecordBytes + job->spec.payload.size() + StepBytes * job->spec.steps.size();
+        return PlainRecordBytes + static_cast<std::size_t>(encodedBytes(job->spec).value());
     const auto *accepted = std::get_if<DocumentAccepted>(&record);
     if (accepted != nullptr && accepted->document.has_value())
         return PlainRecordBytes + DocumentCopies * accepted->document->source.size();
--- a/core/shared_value.h
+++ b/core/shared_value.h
@@ -46,6 +46,13 @@
         return text;
     }
 
+    /** Keeps \a companion as long as the value, for example a reservation of its memory. To be
+     * called before copies are made. Precondition: has_value(). */
+    void attach(const std::shared_ptr<const void> &companion) const
+    {
+        m_held->companion = companion;
+    }
+
     /** Frees the text. Called when the value is no longer the newest, since later messages seldom
      * carry it. */
     void forgetText() const
@@ -68,6 +75,7 @@
         mutable std::mutex mutex;
         mutable std::shared_ptr<const std::string> text;
         mutable bool keepsText = true;
+        mutable std::shared_ptr<const void> companion;
     };
 
     std::shared_ptr<const Held> m_held;
--- a/core/units.h
+++ b/core/units.h
@@ -50,10 +50,18 @@
 using MilliCores = Quantity<struct MilliCoresTag>;
 /** Memory, in units of 1,048,576 bytes. */
 using Mebibytes = Quantity<struct MebibytesTag>;
+/** Memory of this system's own processes. */
+using Bytes = Quantity<struct BytesTag>;
 using Accelerators = Quantity<struct AcceleratorsTag>;
 /** Number of tasks that a worker can run at once. */
 using Slots = Quantity<struct SlotsTag>;
 
+[[nodiscard]] constexpr Bytes toBytes(Mebibytes memory)
+{
+    constexpr std::int64_t BytesPerMebibyte = 1 << 20;
+    return Bytes(memory.value() * BytesPerMebibyte);
+}
+
 /** A point on one host's monotonic clock; comparable only with points of the same clock. */
 class Instant
 {
--- a/drivers/connection_limits.cpp
+++ b/drivers/connection_limits.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr std::size_t BytesPerMebibyte = 1 << 20;
-/** The rest of the memory is for the state, decoded requests and the allocator's overhead. */
+/** The rest of the memory is for decoded calls, the state and the allocator's overhead. */
 constexpr std::size_t MemoryDivisor = 4;
+constexpr std::int64_t DecodedCallDivisor = 12;
 /** At most half of the budget is spent on connections, so that bodies have the other half. */
 constexpr std::size_t ConnectionShareDivisor = 2;
 /** Long enough for a legal body at a tenth of the slowest link (1.5 Mbit/s). */
@@ -35,4 +36,9 @@
     return limits;
 }
 
+Bytes deriveDecodedCallBytes(Mebibytes memory)
+{
+    return toBytes(memory) / DecodedCallDivisor;
+}
+
 } // namespace gentiancross
--- a/drivers/connection_limits.h
+++ b/drivers/connection_limits.h
@@ -33,4 +33,7 @@
 ConnectionLimits deriveConnectionLimits(Mebibytes memory = DefaultProcessMemory,
                                         std::size_t descriptors = DefaultProcessDescriptors);
 
+/** Derives how much memory decoded calls may take until the decision on them. Reentrant. */
+Bytes deriveDecodedCallBytes(Mebibytes memory = DefaultProcessMemory);
+
 } // namespace gentiancross
--- a/drivers/http_listener.cpp
+++ b/drivers/http_listener.cpp
@@ -131,6 +131,7 @@
     {}
 
     absl::Status start(const std::string &ip, std::uint16_t port);
+    void releaseRequest(HttpToken token);
     void respond(HttpToken token, HttpResponse response);
     void stop();
 
@@ -403,6 +404,14 @@
     implementation->m_handler.handleDisconnect(exchange->token);
 }
 
+void HttpListener::Implementation::releaseRequest(HttpToken token)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_pending.find(token);
+    if (found != m_pending.end())
+        m_budget.hold(found->second.id, 0, m_clock.now());
+}
+
 void HttpListener::Implementation::respond(HttpToken token, HttpResponse response)
 {
     const std::lock_guard lock(m_mutex);
@@ -460,6 +469,11 @@
     return m_implementation->start(ip, port);
 }
 
+void HttpListener::releaseRequest(HttpToken token)
+{
+    m_implementation->releaseRequest(token);
+}
+
 void HttpListener::respond(HttpToken token, HttpResponse response)
 {
     m_implementation->respond(token, std::move(response));
--- a/drivers/http_listener.h
+++ b/drivers/http_listener.h
@@ -66,6 +66,9 @@
     /** Listens on \a ip only. Errors: InvalidArgument if \a ip is not an IP address, Unavailable
      * with the address if it cannot be bound. */
     absl::Status start(const std::string &ip, std::uint16_t port);
+    /** Stops counting the bytes of a request that its handler does not keep. To be called before
+     * the request can be answered. */
+    void releaseRequest(HttpToken token);
     /** Responds to a request. Does nothing if its connection is lost or it was answered before. */
     void respond(HttpToken token, HttpResponse response);
     /** Stops listening, waits for given responses to be sent, up to a time limit, and closes all
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -171,12 +171,15 @@
     LogWriter log;
     CellMetrics cellMetrics(log);
     HttpClient client(MaxConnectionsPerWorker);
-    PeerLink peers({makeHostId(boot.ip, boot), {}, settings.fleetSecret, true}, control);
+    ByteBudget decodedCalls(boot.decodedCalls);
+    PeerLink peers({makeHostId(boot.ip, boot), {}, settings.fleetSecret, true}, control,
+                   decodedCalls);
     ConnectionBudget connections(boot.connections);
     ConnectionMonitor connectionMonitor(connections, clock);
     PeerListener peerListener(peers, settings.fleetSecret, connections);
     platform::WorkerCaller workers(client, clock, control, boot.adviserAddress);
-    platform::CellFrontend frontend(boot, clock, control, metrics, cellMetrics, connections);
+    platform::CellFrontend frontend(boot, clock, control, metrics, cellMetrics, connections,
+                                    decodedCalls);
     CellMainLoopHandler handler(control, frontend, connectionMonitor, settings.bootPath);
     MainLoop mainLoop(handler);
     EffectRouter router({frontend, peers, workers,
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -77,7 +77,8 @@
     Metrics metrics;
     JournalWriter journalWriter(journal, control, metrics, &exitAfterDiskFailure);
     HttpClient client;
-    PeerLink peers(settings.peers, control);
+    ByteBudget decodedCalls(deriveDecodedCallBytes());
+    PeerLink peers(settings.peers, control, decodedCalls);
     StartOrderSender startOrders(client, clock, control);
     ConnectionBudget connections(deriveConnectionLimits());
     ConnectionMonitor connectionMonitor(connections, clock);
--- a/servers/peer_link.cpp
+++ b/servers/peer_link.cpp
@@ -1,8 +1,10 @@
 #include "servers/peer_link.h"
 
+#include "core/job_size.h"
 #include "core/record_size.h"
 #include "drivers/log.h"
 #include "drivers/text_codec.h"
+#include "servers/submission_memory.h"
 
 #include <absl/strings/numbers.h>
 
@@ -23,6 +25,10 @@
  * takes about fifteen times the memory of its text. */
 constexpr std::size_t MaxCallBytes = 512 << 10;
 
+/** The links of entry hosts are slow: a larger submission would hold up the calls of other callers.
+ */
+constexpr std::size_t MaxSmallSubmissionBytes = 64 << 10;
+
 /** Estimates the encoded size of a message. Large messages are large because of their records, and
  * senders limit batches of records by the same estimate. */
 std::size_t encodedBytes(const PeerMessage &message)
@@ -33,6 +39,14 @@
             bytes += gentiancross::encodedBytes(*entry);
         return bytes;
     }
+    if (const auto *request = std::get_if<RelayCallRequest>(&message)) {
+        const auto *const job = std::get_if<JobCall>(&request->call);
+        const bool hasSpec = job != nullptr && job->spec.has_value();
+        return bytes
+                + (hasSpec ? static_cast<std::size_t>(
+                           gentiancross::encodedBytes(*job->spec).value())
+                           : 0);
+    }
     if (const auto *orders = std::get_if<WorkerOrders>(&message)) {
         for (const CallWorker &call : orders->calls) {
             const auto *start = std::get_if<OrderStart>(&call.order);
@@ -70,7 +84,8 @@
         return !entries->entries.empty() && encodedBytes(message) > MaxCallBytes;
     if (const auto *request = std::get_if<RelayCallRequest>(&message)) {
         const auto *const put = std::get_if<PutConfiguration>(&request->call);
-        return put != nullptr && encodedBytes(put->document) > MaxCallBytes;
+        return put == nullptr ? encodedBytes(message) > MaxSmallSubmissionBytes
+                              : encodedBytes(put->document) > MaxCallBytes;
     }
     if (const auto *response = std::get_if<RelayCallResponse>(&message)) {
         const auto *const report = std::get_if<ConfigurationReport>(&response->answer);
@@ -173,10 +188,13 @@
 
     int svc() override
     {
-        for (std::vector<SendToPeer> batch = m_queue.takeAll(); !batch.empty();
-             batch = m_queue.takeAll())
+        while (true) {
+            // Freed before the next wait, since a batch may hold some MB.
+            const std::vector<SendToPeer> batch = m_queue.takeAll();
+            if (batch.empty())
+                return 0;
             send(batch);
-        return 0;
+        }
     }
 
 private:
@@ -218,9 +236,10 @@
     bool m_wasReachable = true;
 };
 
-PeerLink::PeerLink(PeerAddresses addresses, EventSink &events)
+PeerLink::PeerLink(PeerAddresses addresses, EventSink &events, ByteBudget &decodedCalls)
     : m_addresses(std::move(addresses))
     , m_events(events)
+    , m_decodedCalls(decodedCalls)
     , m_dispatcher(DeliverMethod, [this](const std::string &batch) { receive(batch); })
 {
     for (const auto &[peer, address] : m_addresses.addresses)
@@ -301,8 +320,11 @@
         logWarning("peer link", "call dropped: it could not be decoded");
         return;
     }
-    for (PeerMessageReceived &event : events)
+    for (PeerMessageReceived &event : events) {
+        if (auto *const relayed = std::get_if<RelayCallRequest>(&event.message))
+            reserveMemory(relayed->call, m_decodedCalls);
         m_events.post(std::move(event));
+    }
 }
 
 } // namespace gentiancross
--- a/servers/peer_link.h
+++ b/servers/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "drivers/byte_budget.h"
 #include "drivers/rpc/rpc_client.h"
 #include "drivers/rpc/rpc_dispatcher.h"
 #include "servers/event_sink.h"
@@ -37,7 +38,9 @@
 class PeerLink final : public EffectHandler
 {
 public:
-    PeerLink(PeerAddresses addresses, EventSink &events);
+    /** The decoded calls that other hosts relay count against \a decodedCalls. Both references must
+     * outlive this object. */
+    PeerLink(PeerAddresses addresses, EventSink &events, ByteBudget &decodedCalls);
     ~PeerLink() override;
 
     void start();
@@ -62,6 +65,7 @@
 
     PeerAddresses m_addresses;
     EventSink &m_events;
+    ByteBudget &m_decodedCalls;
     Senders m_senders;
     /** Senders of large messages, made when there is a first one. */
     Senders m_largeSenders;
--- a/tests/control/jobs/cell_root_test.cpp
+++ b/tests/control/jobs/cell_root_test.cpp
@@ -47,7 +47,7 @@
 {
     JobCall call = makeSubmit(number);
     call.verb = JobVerb::Status;
-    call.spec.reset();
+    call.spec = {};
     return call;
 }
 
@@ -180,7 +180,9 @@
     const std::size_t before = cell.group.entriesSentTo(silent);
     for (int number = 1; number <= 200; ++number) {
         JobCall call = makeSubmit(number);
-        call.spec->payload = std::string(4000, 'x');
+        JobSpec spec = *call.spec;
+        spec.payload = std::string(4000, 'x');
+        call.spec = std::move(spec);
         const ExchangeId exchange = cell.group.call("e1", call);
         cell.group.wait(exchange, 1000);
         REQUIRE(isDone(cell.group.answer(exchange)));
--- a/tests/platform/boot_settings_test.cpp
+++ b/tests/platform/boot_settings_test.cpp
@@ -23,6 +23,7 @@
     REQUIRE(settings.ok());
     CHECK(settings->connections.bytes == 40 << 20);
     CHECK(settings->connections.connections == 750);
+    CHECK(settings->decodedCalls == toBytes(Mebibytes(160)) / 12);
     const absl::StatusOr<BootSettings> without = decodeWithLimits("null");
     REQUIRE(without.ok());
     CHECK(without->connections.bytes == deriveConnectionLimits().bytes);
@@ -39,12 +40,17 @@
     CHECK(settings->connections.connectionsPerClient == 7);
     CHECK(settings->connections.requestTime == Milliseconds(6000));
     CHECK(settings->callerBodyBytes == 5);
+    const absl::StatusOr<BootSettings> memory
+            = decodeWithLimits(R"({"undecided_mb":4})");
+    REQUIRE(memory.ok());
+    CHECK(memory->decodedCalls == toBytes(Mebibytes(4)));
 }
 
 TEST_CASE("The error for an invalid connection limit names the field")
 {
-    for (const std::string field : {"memory_mb", "max_fds", "exchange_mb", "connections",
-                                    "connections_per_client", "request_ms", "caller_body_bytes"}) {
+    for (const std::string field :
+         {"memory_mb", "max_fds", "exchange_mb", "connections", "connections_per_client",
+          "request_ms", "caller_body_bytes", "undecided_mb"}) {
         for (const std::string value : {"0", "-1", "1e300", "\"9\"", "null", "[]"}) {
             const absl::StatusOr<BootSettings> settings
                     = decodeWithLimits(absl::StrCat("{\"", field, "\":", value, "}"));
--- a/tests/servers/message_fuzz_test.cpp
+++ b/tests/servers/message_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include "drivers/codec.h"
+#include "drivers/connection_limits.h"
 #include "drivers/rpc/rpc_envelope.h"
 #include "servers/peer_link.h"
 #include "servers/request_decoder.h"
@@ -204,7 +205,8 @@
     MessageMutator m_mutator;
     SoloHost m_host{Companion::Mirror};
     RecordedEvents m_events;
-    PeerLink m_link{{HostId("solo"), {}, "", false}, m_events};
+    ByteBudget m_decodedCalls{deriveDecodedCallBytes()};
+    PeerLink m_link{{HostId("solo"), {}, "", false}, m_events, m_decodedCalls};
     std::vector<std::string> m_valid;
     int m_accepted = 0;
     int m_refused = 0;
--- a/tests/servers/peer_link_test.cpp
+++ b/tests/servers/peer_link_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/peer_link.h"
 
+#include "drivers/codec.h"
+#include "drivers/connection_limits.h"
 #include "drivers/rpc/rpc_envelope.h"
 
 #include <absl/strings/str_cat.h>
@@ -104,7 +106,8 @@
 TEST_CASE("No thread is started for a host whose name is not an address")
 {
     NullEventSink events;
-    PeerLink link({HostId("10.0.0.1:7400"), {}, "", true}, events);
+    ByteBudget decodedCalls(deriveDecodedCallBytes());
+    PeerLink link({HostId("10.0.0.1:7400"), {}, "", true}, events, decodedCalls);
     const std::ptrdiff_t before = countThreads();
     for (const char *name : {"", "x", "10.0.0.2", "10.0.0.2:", ":7400", "10.0.0.2:70000", "a:1"})
         link.carryOut(SendToPeer{HostId(name), TimeoutNow{}, 0});
@@ -117,7 +120,8 @@
 TEST_CASE("A message that can't be decoded is dropped alone, and a malformed batch as a whole")
 {
     RecordedEvents events;
-    PeerLink link({HostId("self"), {}, "", false}, events);
+    ByteBudget decodedCalls(deriveDecodedCallBytes());
+    PeerLink link({HostId("self"), {}, "", false}, events, decodedCalls);
     const auto countReceived = [&](const std::string &batch) {
         events.events.clear();
         link.dispatch(rpcenvelope::wrap("deliver", batch));
@@ -136,12 +140,39 @@
     CHECK(countReceived(R"(["b"])") == 0);
 }
 
+// Guards against a leader that runs out of memory by what entry hosts relay to it.
+TEST_CASE("A relayed submission without room is passed on without its specification")
+{
+    RecordedEvents events;
+    ByteBudget decodedCalls(Bytes(1));
+    PeerLink link({HostId("self"), {}, "", false}, events, decodedCalls);
+    JobSpec spec;
+    spec.steps.resize(2);
+    const JobCall job{JobVerb::Submit, "h", "/q/1", {}, spec, {}};
+    const std::string message = codec::encode(
+            PeerMessage(RelayCallRequest{ExchangeId(7), CellCall(job), SessionId("s")}));
+    const std::string batch = R"(["b",[5,)" + message + "],[5," + message + "]]";
+    link.dispatch(rpcenvelope::wrap("deliver", batch));
+    REQUIRE(events.events.size() == 2);
+    const auto received = [&](std::size_t index) {
+        const auto &event = std::get<PeerMessageReceived>(events.events.at(index));
+        return std::get<JobCall>(std::get<RelayCallRequest>(event.message).call);
+    };
+    CHECK(received(0).spec->steps.size() == 2);
+    CHECK_FALSE(received(1).spec.has_value());
+    CHECK(received(1).isShed);
+    CHECK(received(1).path == "/q/1");
+    events.events.clear();
+    CHECK(decodedCalls.reserved() == Bytes(0));
+}
+
 // Guards against orders to workers that expire while a configuration is sent to the same keeper.
 TEST_CASE("Small messages to a peer don't wait for a large one")
 {
     BusyPeer peer;
     NullEventSink events;
-    PeerLink link({HostId("127.0.0.1:1"), {}, "", true}, events);
+    ByteBudget decodedCalls(deriveDecodedCallBytes());
+    PeerLink link({HostId("127.0.0.1:1"), {}, "", true}, events, decodedCalls);
     link.carryOut(SendToPeer{peer.name(), makeLargeMessage(), 0});
     const int large = peer.accept();
     link.carryOut(SendToPeer{peer.name(), TimeoutNow{}, 0});
