Bound what the stored jobs take in memory

The leader sums what the stored jobs take, by team, and refuses a submission that the memory does not hold with 503 and Retry-After, at once. A team may hold three quarters of what the other teams leave, so one organisation's crowd leaves room for the others. A repetition of a stored job gets its 200. A job that could never fit gets 400. Occurrences of repeating jobs wait for room. A new leader sums up the jobs that it inherits. deriveMemoryPlan divides a keeper's memory: the bound is 29 MB on 256 and 57 MB on 384; the log's size before compaction stays 32 MB, and is less on machines of less than 256 MB.

Setting: limits.jobs_mb. Metrics: submissions_refused_total with the reasons store_full and team_full; log line `stored jobs`.

--- a/control/jobs/call_handler.cpp
+++ b/control/jobs/call_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "control/jobs/config_rules.h"
 #include "control/jobs/job_store.h"
+#include "core/job_size.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -63,8 +64,10 @@
 
 } // namespace
 
-CallHandler::CallHandler(const JobStoreData &store, CallDecisionHandler &decisions)
+CallHandler::CallHandler(const JobStoreData &store, const AdmissionPolicy &admission,
+                         CallDecisionHandler &decisions)
     : m_store(store)
+    , m_admission(admission)
     , m_decisions(decisions)
 {}
 
@@ -95,6 +98,36 @@
     m_decisions.answer(origin, CallRefused{refusal, std::move(reason), retryAfter});
 }
 
+bool CallHandler::refuseForMemory(const CallOrigin &origin, const JobCall &call, const TeamId &team,
+                                  Outbox &out)
+{
+    if (call.isShed) {
+        out.count(CellEvent::SubmissionShed);
+        refuse(origin, Refusal::Unavailable, "too many large jobs wait for a decision",
+               ShedRetryDelay);
+        return true;
+    }
+    switch (m_admission.check(team, acceptedBytes(*call.spec))) {
+    case AdmissionVerdict::Accept:
+        return false;
+    case AdmissionVerdict::TooLarge:
+        refuse(origin, Refusal::Malformed,
+               "steps: the job takes more memory than the cell has for jobs");
+        return true;
+    case AdmissionVerdict::Full:
+        out.count(CellEvent::SubmissionRefusedStoreFull);
+        refuse(origin, Refusal::Unavailable, "the cell has no memory for another job",
+               m_admission.retryAfter());
+        return true;
+    case AdmissionVerdict::TeamFull:
+        out.count(CellEvent::SubmissionRefusedTeamFull);
+        refuse(origin, Refusal::Unavailable, "the jobs of the team take too much memory",
+               m_admission.retryAfter());
+        return true;
+    }
+    return false;
+}
+
 bool CallHandler::isRepeatedSubmission(const CallOrigin &origin, const JobCall &call) const
 {
     if (call.verb != JobVerb::Submit || call.path.size() < JobIdLength)
@@ -176,12 +209,8 @@
         refuse(origin, Refusal::Malformed, *defect);
         return;
     }
-    if (call.isShed) {
-        out.count(CellEvent::SubmissionShed);
-        refuse(origin, Refusal::Unavailable, "too many large jobs wait for a decision",
-               ShedRetryDelay);
+    if (refuseForMemory(origin, call, team, out))
         return;
-    }
     JobAccepted record;
     record.id = JobId(id);
     record.terms = {queue.queue,           queue.pool,        team,
--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/admission/admission_policy.h"
 #include "control/jobs/queue_index.h"
 #include "control/outbox.h"
 #include "core/job_calls.h"
@@ -32,8 +33,9 @@
 class CallHandler
 {
 public:
-    /** Both must outlive this object. */
-    CallHandler(const JobStoreData &store, CallDecisionHandler &decisions);
+    /** All must outlive this object. */
+    CallHandler(const JobStoreData &store, const AdmissionPolicy &admission,
+                CallDecisionHandler &decisions);
 
     /** A submission that its host sends again is accepted even if its key or queue is gone by now:
      * a refusal would be the caller's only answer. */
@@ -55,11 +57,15 @@
     void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
     void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
+    /** Refuses a submission that can't be stored; false if it can. */
+    bool refuseForMemory(const CallOrigin &origin, const JobCall &call, const TeamId &team,
+                         Outbox &out);
     void refuse(const CallOrigin &origin, Refusal refusal, std::string reason,
                 Milliseconds retryAfter = {});
     [[nodiscard]] std::uint64_t waitingCount(const QueueId &queue) const;
 
     const JobStoreData &m_store;
+    const AdmissionPolicy &m_admission;
     CallDecisionHandler &m_decisions;
     QueueIndex m_queues;
     /** Accepted jobs of which no task is known to have begun, by queue. */
--- a/control/jobs/cell_leader.cpp
+++ b/control/jobs/cell_leader.cpp
@@ -2,6 +2,7 @@
 
 #include "control/jobs/heartbeat_check.h"
 #include "control/placement/speed_cost_policy.h"
+#include "core/job_size.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -20,9 +21,10 @@
     : m_options(std::move(options))
     , m_now(now)
     , m_store(std::move(store))
+    , m_storedWork(m_options.storedWork)
     , m_pool(now)
     , m_advice(m_options.self, AdviceRequestId(m_options.fence.value() << IdBitsPerFence))
-    , m_callHandler(m_store, *this)
+    , m_callHandler(m_store, m_storedWork, *this)
     , m_evacuations(now, m_options.dataCentres, m_store, m_pool, *this)
     , m_admission(std::make_unique<DelayAdmission>(AdmissionSettings{.validity = OrderValidity}))
     , m_runs(m_options.fence, m_store, m_pool, m_advice, *m_admission, *this)
@@ -136,6 +138,7 @@
 void CellLeader::onJobChanged(const JobId &id, const Job &job)
 {
     m_callHandler.updateWaiting(id, job);
+    m_storedWork.set(id, job.terms.team, storedBytes(job));
     if (!job.isOver() && !m_planner.knowsJob(id)) {
         m_shares.update(m_now, m_store.document);
         m_planner.jobArrived(id, job, m_shares.recordArrival(m_now, job.terms.team));
@@ -383,17 +386,20 @@
     m_speeds.tick(now, m_pool, out);
     m_evacuations.tick(now, out);
     logAdmissionLimit(out);
+    m_storedWorkLog.tick(now, m_storedWork, out);
     // Workers become usable again and tickets expire with time, without any event.
     m_planner.markChanged();
 }
 
-bool CellLeader::canBeginOccurrence(const Job &job)
+bool CellLeader::canBeginOccurrence(const Job &job) const
 {
     std::uint64_t tasks = 0;
     for (const StepSpec &step : job.spec.steps)
         tasks += step.count;
     const std::uint64_t underWay = job.occurrencesBegun - job.occurrencesDone;
-    return (underWay + 1) * tasks <= MaxTasksPerJob;
+    return (underWay + 1) * tasks <= MaxTasksPerJob
+            && m_storedWork.check(job.terms.team, occurrenceBytes(job.spec))
+            == AdmissionVerdict::Accept;
 }
 
 void CellLeader::logAdmissionLimit(Outbox &out)
@@ -435,8 +441,14 @@
         m_endedIds.erase(id);
         forgotten.jobs.push_back(id);
     }
+    for (const JobId &id : forgotten.jobs)
+        m_storedWork.remove(id);
     if (!forgotten.jobs.empty())
         apply(std::move(forgotten));
+    std::optional<Milliseconds> untilRelease;
+    if (!m_endedJobs.empty())
+        untilRelease = m_endedJobs.front().first + m_options.jobRetention - m_now;
+    m_storedWork.setNextRelease(untilRelease);
 }
 
 std::pair<PooledWorker *, OpenRun *> CellLeader::findUnsentRun(const DecidedStart &start)
--- a/control/jobs/cell_leader.h
+++ b/control/jobs/cell_leader.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "control/admission/memory_plan.h"
+#include "control/admission/stored_work.h"
+#include "control/admission/stored_work_log.h"
 #include "control/evacuation/evacuation_handler.h"
 #include "control/jobs/advice_coordinator.h"
 #include "control/jobs/call_handler.h"
@@ -69,6 +72,8 @@
     Milliseconds jobRetention{DefaultJobRetentionMilliseconds};
     /** The cell's data centres, or a part of them; empty if none is known. */
     std::set<DataCentreId> dataCentres;
+    /** What the stored jobs may take in memory. */
+    Bytes storedWork = deriveMemoryPlan(DefaultKeeperMemory).storedWork;
 };
 
 /**
@@ -165,8 +170,9 @@
     [[nodiscard]] bool hasLeft(const WorkerIncarnation &incarnation) const;
     /** True if another incarnation with the same name is known, or was until its end. */
     [[nodiscard]] bool isNameReused(const WorkerIncarnation &incarnation);
-    /** False while the occurrences in progress already have as many tasks as a job may have. */
-    [[nodiscard]] static bool canBeginOccurrence(const Job &job);
+    /** False while the occurrences in progress already have as many tasks as a job may have, or
+     * the stored jobs leave no room for another one. */
+    [[nodiscard]] bool canBeginOccurrence(const Job &job) const;
     void beginDueOccurrences(Milliseconds wall);
     void forgetExpiredJobs();
     void logAdmissionLimit(Outbox &out);
@@ -184,6 +190,8 @@
     /** Time of the call in progress. */
     Instant m_now;
     JobStoreData m_store;
+    StoredWork m_storedWork;
+    StoredWorkLog m_storedWorkLog;
     WorkerPool m_pool;
     AdviceCoordinator m_advice;
     CallHandler m_callHandler;
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -34,9 +34,6 @@
 constexpr Milliseconds KeeperDrain{600};
 /** A restart reads all records since the last compaction; this limits it to about a second. */
 constexpr std::size_t RecordsBeforeCompaction = 20'000;
-/** Limits the journal on disk and the entries in memory; the smallest hosts with a disk have 128 MB
- * of disk and 256 MB of memory. */
-constexpr std::size_t LogBytesBeforeCompaction = 32 << 20;
 /** Keepers compact at different log sizes, so that most of them respond while one is writing. */
 constexpr std::size_t CompactionStep = 1 << 20;
 constexpr std::size_t CompactionSteps = 8;
@@ -481,9 +478,9 @@
 
 void CellRoot::beginToLead()
 {
-    LeaderOptions options{m_options.directory.self, Fence(m_raft->term().value()),
+    LeaderOptions options{m_options.directory.self,   Fence(m_raft->term().value()),
                           m_options.heartbeatAddress, m_options.jobRetention,
-                          m_options.dataCentres};
+                          m_options.dataCentres,      m_options.memory.storedWork};
     m_leader = std::make_unique<CellLeader>(m_now, std::move(options), m_raft->state().data().jobs);
     m_out.count(CellEvent::LeadershipGained);
     m_out.add(LogLine{false, "leader",
@@ -594,8 +591,9 @@
 void CellRoot::compactIfLarge()
 {
     const std::size_t step = std::hash<HostId>()(m_options.directory.self) % CompactionSteps;
+    const auto logBytes = static_cast<std::size_t>(m_options.memory.log.value());
     const bool isLarge = m_out.recordsSinceReplace() >= RecordsBeforeCompaction
-            || m_raft->bytesSinceCompaction() >= LogBytesBeforeCompaction + step * CompactionStep;
+            || m_raft->bytesSinceCompaction() >= logBytes + step * CompactionStep;
     if (isLarge)
         m_out.replaceJournal(m_raft->compact());
 }
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/admission/memory_plan.h"
 #include "control/jobs/call_relay.h"
 #include "control/jobs/cell_leader.h"
 #include "control/jobs/heartbeat_collector.h"
@@ -36,6 +37,8 @@
     Milliseconds jobRetention{DefaultJobRetentionMilliseconds};
     /** The cell's data centres by the settings; empty if these list none. */
     std::set<DataCentreId> dataCentres;
+    /** How this host divides its memory, if it is a keeper. */
+    MemoryPlan memory = deriveMemoryPlan(DefaultKeeperMemory);
 };
 
 /**
--- a/core/job_size.cpp
+++ b/core/job_size.cpp
@@ -6,9 +6,14 @@
 
 namespace {
 
+/** A job without its steps: its entries in maps, and the texts of its terms and its origin. */
+constexpr std::int64_t JobBytes = 1024;
 /** A text of more bytes is held in a block of its own, which has some overhead. */
 constexpr std::size_t InlineTextBytes = 15;
 constexpr std::int64_t BlockBytes = 16;
+/** With the share of checkpoints, which are held outside of a task's progress. */
+constexpr std::int64_t TaskBytes = sizeof(TaskProgress) + BlockBytes;
+constexpr std::int64_t TaskListBytes = sizeof(std::vector<TaskProgress>) + BlockBytes;
 /** A step's encoded form without its texts and lists, and a number of a list in it. */
 constexpr std::int64_t EncodedStepBytes = 96;
 constexpr std::int64_t EncodedNumberBytes = 6;
@@ -49,4 +54,23 @@
                  + EncodedStepBytes * static_cast<std::int64_t>(spec.steps.size()));
 }
 
+Bytes occurrenceBytes(const JobSpec &spec)
+{
+    std::int64_t bytes = 0;
+    for (const StepSpec &step : spec.steps)
+        bytes += TaskListBytes + TaskBytes * step.count;
+    return Bytes(bytes);
+}
+
+Bytes storedBytes(const Job &job)
+{
+    return Bytes(JobBytes) + decodedBytes(job.spec)
+            + occurrenceBytes(job.spec) * static_cast<std::int64_t>(job.occurrences.size());
+}
+
+Bytes acceptedBytes(const JobSpec &spec)
+{
+    return Bytes(JobBytes) + decodedBytes(spec) + occurrenceBytes(spec);
+}
+
 } // namespace gentiancross
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -98,6 +98,10 @@
     EvacuatedStartAbandoned,
     /** A submission was refused because a host on its way had no memory to hold it. */
     SubmissionShed,
+    /** A submission was refused because the stored jobs take all the memory for them. */
+    SubmissionRefusedStoreFull,
+    /** A submission was refused because those of its team take too much of it. */
+    SubmissionRefusedTeamFull,
 };
 
 /** Time spans that are measured. */
--- a/main/cell_host.cpp
+++ b/main/cell_host.cpp
@@ -139,6 +139,7 @@
     if (boot.jobStatusRetention > Milliseconds(0))
         options.jobRetention = boot.jobStatusRetention + ResendMargin;
     options.dataCentres = dataCentresOf(boot);
+    options.memory = boot.memory;
     options.directory.self = self;
     options.directory.hosts.emplace(
             self, HostInfo{self, DataCentreId(boot.dataCentre), options.isKeeper});
--- a/servers/cell_metrics.cpp
+++ b/servers/cell_metrics.cpp
@@ -28,7 +28,7 @@
 constexpr std::array EndingNames
         = {"done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost"};
 constexpr std::array SourceNames = {"listed", "concluded", "concluded_inherited"};
-constexpr std::array<std::pair<const char *, const char *>, 32> EventNames = {{
+constexpr std::array<std::pair<const char *, const char *>, 34> EventNames = {{
         {"starts_total", "run=\"first\""},
         {"starts_total", "run=\"later\""},
         {"starts_repeated_total", ""},
@@ -61,6 +61,8 @@
         {"evacuation_orders_total", "result=\"refused\""},
         {"evacuated_starts_abandoned_total", ""},
         {"submissions_refused_total", "reason=\"undecided\""},
+        {"submissions_refused_total", "reason=\"store_full\""},
+        {"submissions_refused_total", "reason=\"team_full\""},
 }};
 constexpr std::array SpanNames = {"start_durable_milliseconds", "run_ended_milliseconds",
                                   "end_durable_milliseconds", "tick_gap_milliseconds"};
@@ -77,7 +79,7 @@
 {
     return static_cast<std::size_t>(value);
 }
-static_assert(EventNames.size() == indexOf(CellEvent::SubmissionShed) + 1,
+static_assert(EventNames.size() == indexOf(CellEvent::SubmissionRefusedTeamFull) + 1,
               "Each event has a name, in the order of the enumerators.");
 static_assert(HandledNames.size() == indexOf(EventKind::Other) + 1,
               "Each kind of event has a name, in the order of the enumerators.");
--- a/tests/control/jobs/leader_bench.cpp
+++ b/tests/control/jobs/leader_bench.cpp
@@ -44,8 +44,11 @@
     return document;
 }
 
-LeaderBench::LeaderBench(JobStoreData store)
-    : m_leader(m_now, {HostId("self"), Fence(5), "self:1"}, std::move(store))
+LeaderBench::LeaderBench(JobStoreData store, Bytes storedWork)
+    : m_leader(m_now,
+               {HostId("self"), Fence(5), "self:1", Milliseconds(DefaultJobRetentionMilliseconds),
+                std::set<DataCentreId>(), storedWork},
+               std::move(store))
 {}
 
 void LeaderBench::configure(const Resources &cap, std::optional<AdviceTerms> advice)
--- a/tests/control/jobs/leader_bench.h
+++ b/tests/control/jobs/leader_bench.h
@@ -18,7 +18,9 @@
 class LeaderBench
 {
 public:
-    explicit LeaderBench(JobStoreData store = {});
+    /** \a storedWork is what its jobs may take in memory. */
+    explicit LeaderBench(JobStoreData store = {},
+                         Bytes storedWork = deriveMemoryPlan(DefaultKeeperMemory).storedWork);
 
     /** Applies `makeDocument` of the same arguments. */
     void configure(const Resources &cap = {}, std::optional<AdviceTerms> advice = {});
--- a/tests/platform/boot_settings_test.cpp
+++ b/tests/platform/boot_settings_test.cpp
@@ -41,16 +41,17 @@
     CHECK(settings->connections.requestTime == Milliseconds(6000));
     CHECK(settings->callerBodyBytes == 5);
     const absl::StatusOr<BootSettings> memory
-            = decodeWithLimits(R"({"undecided_mb":4})");
+            = decodeWithLimits(R"({"undecided_mb":4,"jobs_mb":6})");
     REQUIRE(memory.ok());
     CHECK(memory->decodedCalls == toBytes(Mebibytes(4)));
+    CHECK(memory->memory.storedWork == toBytes(Mebibytes(6)));
 }
 
 TEST_CASE("The error for an invalid connection limit names the field")
 {
     for (const std::string field :
          {"memory_mb", "max_fds", "exchange_mb", "connections", "connections_per_client",
-          "request_ms", "caller_body_bytes", "undecided_mb"}) {
+          "request_ms", "caller_body_bytes", "undecided_mb", "jobs_mb"}) {
         for (const std::string value : {"0", "-1", "1e300", "\"9\"", "null", "[]"}) {
             const absl::StatusOr<BootSettings> settings
                     = decodeWithLimits(absl::StrCat("{\"", field, "\":", value, "}"));
