Don't let a shed submission refute an earlier one that it overtakes

A caller could be told by 503 that its job never runs while it runs: its first attempt was still on its way to the leader, by the sender of large messages, and its second attempt on the same host was shed for lack of memory, so that its small message overtook the first one and found no job.

The relay remembers whether the same submission was sent before without an answer. The leader's refusal of a shed submission then becomes 504, after which the caller sends it again; 200 for a stored job is passed on. The test fails without the change of CallRelay::receive.

--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -70,7 +70,10 @@
         refuse(event.exchange, event.call, out);
         return;
     }
-    Pending pending{event.call, now, now + event.timeout, std::nullopt};
+    const auto *const job = std::get_if<JobCall>(&event.call);
+    const bool isShed = job != nullptr && job->isShed;
+    Pending pending{event.call, now, now + event.timeout, std::nullopt,
+                    isShed && mayBeAccepted(event.call)};
     if (hasLeader(now))
         send(now, event.exchange, pending, out);
     m_pending.emplace(event.exchange, std::move(pending));
@@ -149,7 +152,13 @@
     if (found == m_pending.end())
         return std::nullopt;
     CellCall call = std::move(found->second.call);
+    const bool mayOvertake = found->second.mayOvertake;
     m_pending.erase(found);
+    if (mayOvertake && std::holds_alternative<CallRefused>(message.answer)) {
+        // The earlier submission may be accepted later.
+        answerUnknown(message.exchange, out);
+        return call;
+    }
     if (const auto key = submissionKey(call))
         m_unansweredSubmissions.erase(*key);
     out.add(AnswerCall{message.exchange, message.answer});
--- a/control/jobs/call_relay.h
+++ b/control/jobs/call_relay.h
@@ -55,6 +55,9 @@
         Instant deadline;
         /** When it was last sent to a leader; empty before. */
         std::optional<Instant> sentAt;
+        /** True if it is shed, and the same submission was on its way to the leader before, which
+         * it may overtake. */
+        bool mayOvertake = false;
     };
 
     /** Refuses a call that no leader can decide on. */
--- a/tests/control/jobs/call_relay_test.cpp
+++ b/tests/control/jobs/call_relay_test.cpp
@@ -66,6 +66,33 @@
     CHECK(refusalOf(ExchangeId(3), out) == Refusal::Unavailable);
 }
 
+// Guards against the same where the second attempt was shed, and its small message overtakes the
+// first attempt's large one.
+TEST_CASE("A shed submission that may overtake an earlier one is not refused as without effect")
+{
+    Outbox out(false);
+    CallRelay relay(HostId("entry"), {}, {keeper});
+    relayToLeader(relay, submissionOf(1, "00000000000000aa"), out);
+    relay.forgetExchange(ExchangeId(1));
+    const auto answerShed = [&](std::uint64_t exchange, const std::string &job, CallAnswer answer) {
+        CellCallReceived shed = submissionOf(exchange, job);
+        std::get<JobCall>(shed.call).spec = {};
+        std::get<JobCall>(shed.call).isShed = true;
+        relay.receive(Now, shed, out);
+        out.take();
+        relay.receive(RelayCallResponse{ExchangeId(exchange), std::move(answer), {}}, out);
+    };
+    const CallRefused refusal{Refusal::Unavailable, "too many large jobs", Milliseconds(1000)};
+    answerShed(2, "00000000000000aa", refusal);
+    CHECK(refusalOf(ExchangeId(2), out) == Refusal::Unknown);
+    answerShed(3, "00000000000000bb", refusal);
+    CHECK(refusalOf(ExchangeId(3), out) == Refusal::Unavailable);
+    answerShed(4, "00000000000000aa", CallDone{});
+    const Effects effects = out.take();
+    REQUIRE(effects.size() == 1);
+    CHECK(std::holds_alternative<CallDone>(std::get<AnswerCall>(effects.front()).answer));
+}
+
 TEST_CASE("A submission that the leader has answered is refused truly in a later outage")
 {
     Outbox out(false);
