--- a/core/job_size.cpp
+++ b/core/job_size.cpp
@@ -35,7 +35,7 @@
 
 Bytes decodedBytes(const JobSpec &spec)
 {
-    std::int64_t bytes = sizeof(JobSpec) + textBytes(spec.payload);
+    std::int64_t bytes = static_cast<std::int64_t>(sizeof(JobSpec)) + textBytes(spec.payload);
     for (const StepSpec &step : spec.steps)
         bytes += decodedBytesOf(step);
     return Bytes(bytes);
--- a/tests/clients/crowd_cases.cpp
+++ b/tests/clients/crowd_cases.cpp
@@ -19,7 +19,7 @@
 constexpr HostLimits FewDescriptors = {48, 256};
 constexpr HostLimits FewKeeperDescriptors = {96, 256};
 constexpr char PutPath[] = "/config/put";
-const std::string NewJobPath = std::string("/q/") + ClientScript::JobNumberMark;
+const std::string newJobPath = std::string("/q/") + ClientScript::JobNumberMark;
 
 std::string head(const std::string &method, const std::string &path, const std::string &header)
 {
@@ -72,7 +72,7 @@
 /** Each client submits \a jobs different jobs with the same body. */
 ClientScript submissions(const std::string &body, int jobs)
 {
-    return repeated(declaredRequest("POST", NewJobPath, body), jobs, true);
+    return repeated(declaredRequest("POST", newJobPath, body), jobs, true);
 }
 
 CrowdCase jobCase(const std::string &name, ClientScript script, std::size_t crowd = 100)
@@ -108,12 +108,12 @@
 std::vector<CrowdCase> validBodyCases()
 {
     const std::string document = R"({"version":9,"services":[],"routes":[)";
-    const std::string status = head("GET", NewJobPath, "");
+    const std::string status = head("GET", newJobPath, "");
     return {
             jobCase("job-empty-steps", submissions(jobbodies::emptySteps(), 1)),
             jobCase("job-smallest-steps", submissions(jobbodies::smallestSteps(), 1)),
             jobCase("job-ordinary-steps", submissions(jobbodies::ordinarySteps(), 1)),
-            jobCase("job-chunks", {chunkedRequest(NewJobPath, jobbodies::ordinarySteps(), 512)}),
+            jobCase("job-chunks", {chunkedRequest(newJobPath, jobbodies::ordinarySteps(), 512)}),
             jobCase("job-simultaneous", simultaneous(submissions(jobbodies::smallestSteps(), 1)),
                     200),
             jobCase("job-many-tasks", submissions(jobbodies::manyTasks(), 6)),
