--- a/tests/drivers/byte_budget_test.cpp
+++ b/tests/drivers/byte_budget_test.cpp
@@ -25,8 +25,10 @@
         large.push_back(std::move(reservation));
     CHECK(large.size() == 2);
     CHECK(budget.refusals() == 1);
+    constexpr int SmallValues = 100;
     std::vector<std::shared_ptr<const void>> small;
-    for (int value = 0; value < 100; ++value)
+    small.reserve(SmallValues);
+    for (int value = 0; value < SmallValues; ++value)
         small.push_back(budget.reserve(Bytes(1)));
     CHECK(small.back() != nullptr);
     CHECK(budget.reserved() <= budget.limit());
