--- a/control/jobs/call_handler.cpp
+++ b/control/jobs/call_handler.cpp
@@ -98,16 +98,10 @@
     m_decisions.answer(origin, CallRefused{refusal, std::move(reason), retryAfter});
 }
 
-bool CallHandler::refuseForMemory(const CallOrigin &origin, const JobCall &call, const TeamId &team,
+bool CallHandler::refuseForMemory(const CallOrigin &origin, const JobSpec &spec, const TeamId &team,
                                   Outbox &out)
 {
-    if (call.isShed) {
-        out.count(CellEvent::SubmissionShed);
-        refuse(origin, Refusal::Unavailable, "too many large jobs wait for a decision",
-               ShedRetryDelay);
-        return true;
-    }
-    switch (m_admission.check(team, acceptedBytes(*call.spec))) {
+    switch (m_admission.check(team, acceptedBytes(spec))) {
     case AdmissionVerdict::Accept:
         return false;
     case AdmissionVerdict::TooLarge:
@@ -199,17 +193,20 @@
         m_decisions.answer(origin, CallDone{});
         return;
     }
-    std::optional<std::string> defect;
-    if (call.spec.has_value())
-        defect = findDefect(*call.spec);
-    else if (!call.isShed)
-        defect = call.defect;
+    if (call.isShed) {
+        out.count(CellEvent::SubmissionShed);
+        refuse(origin, Refusal::Unavailable, "too many large jobs wait for a decision",
+               ShedRetryDelay);
+        return;
+    }
+    const std::optional<std::string> defect
+            = call.spec.has_value() ? findDefect(*call.spec) : call.defect;
     if (defect.has_value()) {
         out.note(id, absl::StrCat("job refused: ", *defect));
         refuse(origin, Refusal::Malformed, *defect);
         return;
     }
-    if (refuseForMemory(origin, call, team, out))
+    if (refuseForMemory(origin, *call.spec, team, out))
         return;
     JobAccepted record;
     record.id = JobId(id);
--- a/control/jobs/call_handler.h
+++ b/control/jobs/call_handler.h
@@ -57,8 +57,8 @@
     void submit(Milliseconds wall, const CallOrigin &origin, const JobCall &call,
                 const QueueConfig &queue, const TeamId &team, const std::string &id, Outbox &out);
     void cancel(const CallOrigin &origin, const JobId &id, const Job &job, Outbox &out);
-    /** Refuses a submission that can't be stored; false if it can. */
-    bool refuseForMemory(const CallOrigin &origin, const JobCall &call, const TeamId &team,
+    /** Refuses a job that can't be stored; false if it can. */
+    bool refuseForMemory(const CallOrigin &origin, const JobSpec &spec, const TeamId &team,
                          Outbox &out);
     void refuse(const CallOrigin &origin, Refusal refusal, std::string reason,
                 Milliseconds retryAfter = {});
