Replace all silent voters at once, and name those that stay by the membership

Cause: proposeVoters() looked up the store of each voter of the new membership in the leader's replication progress, which knows only replies of its own term. The new leader had never heard from the two lost voters, so it could replace neither without naming the other, and refused every 500 ms: "the host has no store or has not answered". adjustVoters() tried one pair of a silent voter and a spare, always the same.

Why this mends it: voters that stay are named by the replica in the present membership, for operators' changes too; only a new voter is looked up in a reply. The plan is a function of the present state (control/membership): it replaces every silent voter that has a spare in one joint change, and leaves nothing behind if a proposal or a spare is lost. Changes, their reasons and the time they took are in the log and the metrics.

--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -1,7 +1,6 @@
 #include "control/jobs/cell_root.h"
 
 #include "control/jobs/config_rules.h"
-#include "core/error.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -25,9 +24,6 @@
 constexpr Milliseconds MaxAdviserCallerAge{1200};
 /** Maximum time that a leader delays its shutdown to hand over its leadership. */
 constexpr Milliseconds MaxHandOverTime{1500};
-constexpr Milliseconds VoterCheckInterval{500};
-/** A voter that is silent for this long is replaced by a keeper that answers. */
-constexpr Milliseconds VoterSilence{4000};
 /** The platform's load balancer checks readiness every second and removes a host after the second
  * refusal. */
 constexpr Milliseconds EntryDrain{2600};
@@ -54,8 +50,10 @@
     , m_dispatcher(m_options.directory.self)
     , m_delegate(m_options.identity.session)
 {
-    if (m_options.isKeeper)
-        m_raft.emplace(m_options.directory, m_options.identity, m_options.seed, CellTiming);
+    if (!m_options.isKeeper)
+        return;
+    m_raft.emplace(m_options.directory, m_options.identity, m_options.seed, CellTiming);
+    m_voters.emplace(*m_raft, m_options.identity.session, VoterOptions{m_options.voters});
 }
 
 Effects CellRoot::reduce(const Event &event)
@@ -113,7 +111,7 @@
     if (m_raft.has_value()) {
         m_raft->tick(m_now, m_out);
         updateLeadership();
-        adjustVoters();
+        m_voters->tick(m_now, m_out);
         if (m_leader != nullptr && isConfirmed())
             m_leader->tick(m_now, m_wall, m_out);
     }
@@ -508,43 +506,6 @@
     return m_raft->isLeader() && m_now - m_raft->confirmedContact() < ConfirmedFor;
 }
 
-void CellRoot::adjustVoters()
-{
-    if (!m_raft->isLeader() || m_now < m_nextVoterCheck)
-        return;
-    m_nextVoterCheck = m_now + VoterCheckInterval;
-    std::set<HostId> voters;
-    std::optional<HostId> silent;
-    for (const ReplicaId &replica : m_raft->membership().voters) {
-        const HostId host = hostOf(replica);
-        const std::optional<Instant> reply = m_raft->lastReplyOf(host);
-        if (host != m_options.directory.self && reply.has_value() && m_now - *reply > VoterSilence
-            && !silent.has_value())
-            silent = host;
-        voters.insert(host);
-    }
-    std::optional<HostId> spare;
-    for (const auto &[host, info] : m_options.directory.hosts) {
-        const std::optional<Instant> reply = m_raft->lastReplyOf(host);
-        const bool answers = reply.has_value() && m_now - *reply < VoterCheckInterval * 3;
-        if (!voters.contains(host) && answers && m_raft->isCaughtUp(host))
-            spare = host;
-    }
-    const bool isShort = voters.size() < m_options.voters;
-    if (!spare.has_value() || (!silent.has_value() && !isShort))
-        return;
-    if (!isShort)
-        voters.erase(*silent);
-    voters.insert(*spare);
-    const ProposalId proposal(
-            absl::StrCat("voters:", m_options.identity.session.value(), ":", ++m_memberChanges));
-    const absl::Status status = m_raft->proposeVoters(m_now, proposal, voters, m_out);
-    m_out.add(LogLine{!status.ok(), spare->value(),
-                      status.ok() ? absl::StrCat("proposed as voter in place of ",
-                                                 silent.value_or(HostId("none")).value())
-                                  : describeError(status)});
-}
-
 void CellRoot::proposeDecisions()
 {
     // Only one entry is in flight at a time; decisions made meanwhile share the next entry.
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -7,6 +7,7 @@
 #include "control/jobs/host_metrics.h"
 #include "control/jobs/order_delegate.h"
 #include "control/jobs/order_dispatcher.h"
+#include "control/membership/voter_supervisor.h"
 #include "control/outbox.h"
 #include "control/raft_consensus.h"
 #include "control/reducer.h"
@@ -103,7 +104,6 @@
     void beginToLead();
     [[nodiscard]] LeaderReport describeLeader() const;
     void updateLeadership();
-    void adjustVoters();
     [[nodiscard]] bool isConfirmed() const;
     void proposeDecisions();
     void applyDurableDecisions();
@@ -133,6 +133,7 @@
     CellOptions m_options;
     Outbox m_out;
     std::optional<RaftConsensus> m_raft;
+    std::optional<VoterSupervisor> m_voters;
     CallRelay m_relay;
     /** Hosts that have sent a leader query, with the time of their last one. */
     std::map<HostId, LeaderQuerier> m_leaderQueriers;
@@ -146,8 +147,6 @@
      * the id used there. */
     std::map<AdviceRequestId, std::pair<HostId, AdviceRequestId>> m_relayedAdviceQueries;
     AdviceRequestId m_lastRelayedAdviceQuery;
-    Instant m_nextVoterCheck;
-    std::uint64_t m_memberChanges = 0;
     Instant m_now;
     Milliseconds m_wall;
     Instant m_exitAt;
--- a/control/raft_consensus.cpp
+++ b/control/raft_consensus.cpp
@@ -574,11 +574,21 @@
     m_progress.addHost(host, now, m_log.lastIndex().next());
 }
 
-bool RaftConsensus::isCaughtUp(const HostId &host) const
+std::vector<ReplicaId> RaftConsensus::caughtUpReplicas(Instant now, Milliseconds span) const
 {
-    const FollowerProgress *progress = m_progress.find(host);
-    return progress != nullptr && progress->replica.has_value()
-            && voting::hasCaughtUp(progress->matchIndex, m_commitIndex);
+    std::vector<ReplicaId> replicas;
+    for (const ReplicaId &replica : m_progress.respondingWithin(now, span)) {
+        const FollowerProgress *const progress = m_progress.find(hostOf(replica));
+        if (isDurable(replica) && voting::hasCaughtUp(progress->matchIndex, m_commitIndex))
+            replicas.push_back(replica);
+    }
+    return replicas;
+}
+
+bool RaftConsensus::isProposed(const ProposalId &proposal) const
+{
+    return m_log.containsProposalAfter(m_appliedIndex, proposal)
+            || m_state.data().operatorResults.find(proposal) != nullptr;
 }
 
 absl::Status RaftConsensus::proposeVoters(Instant now, const ProposalId &proposal,
@@ -586,35 +596,59 @@
 {
     if (!isLeader())
         return notLeader(m_leader);
-    if (m_log.containsProposalAfter(m_appliedIndex, proposal)
-        || m_state.data().operatorResults.find(proposal) != nullptr)
+    if (isProposed(proposal))
+        return absl::OkStatus();
+    std::set<ReplicaId> voters;
+    for (const HostId &host : hosts) {
+        const auto staying
+                = std::find_if(m_membership.voters.begin(), m_membership.voters.end(),
+                               [&host](const ReplicaId &voter) { return hostOf(voter) == host; });
+        const std::optional<ReplicaId> replica
+                = staying == m_membership.voters.end() ? replicaOf(host) : *staying;
+        if (!replica.has_value())
+            return makeError(absl::StatusCode::kFailedPrecondition, Step::Agreement, host.value(),
+                             "the host has not answered");
+        voters.insert(*replica);
+    }
+    return proposeMembership(now, proposal, std::move(voters), out);
+}
+
+absl::Status RaftConsensus::proposeMembership(Instant now, const ProposalId &proposal,
+                                              std::set<ReplicaId> voters, Outbox &out)
+{
+    if (!isLeader())
+        return notLeader(m_leader);
+    if (isProposed(proposal))
         return absl::OkStatus();
     const std::string self = m_directory.self.value();
-    if (hosts.empty())
+    if (voters.empty())
         return makeError(absl::StatusCode::kInvalidArgument, Step::Agreement, self,
                          "name at least one voter");
     if (!m_membership.outgoing.empty())
         return makeError(absl::StatusCode::kAborted, Step::Agreement, self,
                          "another membership change is under way");
-    Membership change{{}, m_membership.voters};
-    for (const HostId &host : hosts) {
-        const std::optional<ReplicaId> replica = replicaOf(host);
-        if (!replica.has_value() || !isDurable(*replica))
-            return makeError(absl::StatusCode::kFailedPrecondition, Step::Agreement, host.value(),
-                             "the host has no store or has not answered");
-        change.voters.insert(*replica);
+    for (const ReplicaId &voter : voters) {
+        if (!isDurable(voter))
+            return makeError(absl::StatusCode::kFailedPrecondition, Step::Agreement,
+                             hostOf(voter).value(), "the host has no store");
     }
-    appendInCurrentTerm(now, {{}, {}, proposal, change}, out);
+    appendInCurrentTerm(now, {{}, {}, proposal, Membership{std::move(voters), m_membership.voters}},
+                        out);
     return absl::OkStatus();
 }
 
-void RaftConsensus::repairMembership(Instant now, Outbox &out)
+bool RaftConsensus::canChangeMembership() const
 {
     // Only one change at a time, and only after an entry of this term is committed. Uncommitted
     // entries of other kinds are allowed, since under load there always are some.
     const Membership committed = m_log.membershipAt(m_commitIndex).value_or(m_baseMembership);
-    if (!m_membership.outgoing.empty() || committed != m_membership
-        || m_log.termAt(m_commitIndex) != term())
+    return isLeader() && m_membership.outgoing.empty() && committed == m_membership
+            && m_log.termAt(m_commitIndex) == term();
+}
+
+void RaftConsensus::repairMembership(Instant now, Outbox &out)
+{
+    if (!canChangeMembership())
         return;
     const std::optional<Membership> change = voting::findStoreReplacement(
             m_membership, m_progress, now, m_timing.minElectionTimeout, m_commitIndex);
--- a/control/raft_consensus.h
+++ b/control/raft_consensus.h
@@ -96,10 +96,18 @@
     /** Starts replicating to a host that is not named in the settings. */
     void addHost(Instant now, const HostId &host);
 
-    /** Starts a membership change to the durable replicas of \a hosts. Errors: those of propose(),
-     * and if the hosts are not valid voters or another change is in progress. */
+    /** Starts a membership change to the durable replicas of \a hosts. A host that is a voter stays
+     * with the replica that the membership names, whether it responds or not. Errors: those of
+     * proposeMembership(), and FailedPrecondition if a new voter has not replied in this term. */
     absl::Status proposeVoters(Instant now, const ProposalId &proposal,
                                const std::set<HostId> &hosts, Outbox &out);
+    /** Starts a membership change to \a voters. Errors: those of propose(), InvalidArgument if
+     * there are none, FailedPrecondition if one has no store, Aborted if another change is in
+     * progress. */
+    absl::Status proposeMembership(Instant now, const ProposalId &proposal,
+                                   std::set<ReplicaId> voters, Outbox &out);
+    /** True if this host leads, the newest membership is committed and no change is in progress. */
+    [[nodiscard]] bool canChangeMembership() const;
 
     /** Returns the entries applied since the last call. */
     std::vector<AppliedEntry> takeApplied();
@@ -137,9 +145,9 @@
      * elected after it. Measured on this host's own clock and independent of message delays.
      */
     [[nodiscard]] Instant confirmedContact() const { return m_confirmedContact; }
-    /** True if the host has replied in this term and lags only a little behind the commit index.
-     * Precondition: leader. */
-    [[nodiscard]] bool isCaughtUp(const HostId &host) const;
+    /** The durable replicas of other hosts that have replied within \a span and lag only a little
+     * behind the commit index. Precondition: leader. */
+    [[nodiscard]] std::vector<ReplicaId> caughtUpReplicas(Instant now, Milliseconds span) const;
     /** The hosts that have not applied \a index yet. Precondition: leader. */
     [[nodiscard]] std::set<HostId> hostsBehind(LogIndex index) const
     {
@@ -185,6 +193,8 @@
     void tickLeader(Instant now, Outbox &out);
     void tickBootstrap(Instant now, Outbox &out);
     void repairMembership(Instant now, Outbox &out);
+    /** True if the proposal is in the log or has been applied. */
+    [[nodiscard]] bool isProposed(const ProposalId &proposal) const;
     void updateQuorumContact(Instant now, Outbox &out);
     void advanceCommit(Instant now, Outbox &out);
     void applyCommitted();
--- a/core/measurements.h
+++ b/core/measurements.h
@@ -102,6 +102,12 @@
     SubmissionRefusedStoreFull,
     /** A submission was refused because those of its team take too much of it. */
     SubmissionRefusedTeamFull,
+    /** A voter of the log has been silent for as long as it may. */
+    VoterSilent,
+    /** A silent voter has been replaced, and the change is committed. */
+    VoterReplaced,
+    /** A voter was proposed in addition to the others. */
+    VoterAdded,
 };
 
 /** Time spans that are measured. */
@@ -114,6 +120,8 @@
     EndDurable,
     /** From one tick of the control thread to the next. */
     TickGap,
+    /** From the last reply of a voter until its replacement is committed. */
+    VoterReplaced,
 };
 
 /** Time spans of a single order. */
--- a/servers/cell_metrics.cpp
+++ b/servers/cell_metrics.cpp
@@ -28,7 +28,7 @@
 constexpr std::array EndingNames
         = {"done", "failed", "stopped", "lapsed", "broken", "alone", "not_started", "lost"};
 constexpr std::array SourceNames = {"listed", "concluded", "concluded_inherited"};
-constexpr std::array<std::pair<const char *, const char *>, 34> EventNames = {{
+constexpr std::array<std::pair<const char *, const char *>, 37> EventNames = {{
         {"starts_total", "run=\"first\""},
         {"starts_total", "run=\"later\""},
         {"starts_repeated_total", ""},
@@ -63,9 +63,13 @@
         {"submissions_refused_total", "reason=\"undecided\""},
         {"submissions_refused_total", "reason=\"store_full\""},
         {"submissions_refused_total", "reason=\"team_full\""},
+        {"voter_changes_total", "change=\"silent\""},
+        {"voter_changes_total", "change=\"replaced\""},
+        {"voter_changes_total", "change=\"added\""},
 }};
-constexpr std::array SpanNames = {"start_durable_milliseconds", "run_ended_milliseconds",
-                                  "end_durable_milliseconds", "tick_gap_milliseconds"};
+constexpr std::array SpanNames
+        = {"start_durable_milliseconds", "run_ended_milliseconds", "end_durable_milliseconds",
+           "tick_gap_milliseconds", "voter_replaced_milliseconds"};
 constexpr std::array OrderSpanNames = {"order_sent_milliseconds", "order_answered_milliseconds"};
 
 constexpr std::array HandledNames
@@ -79,7 +83,7 @@
 {
     return static_cast<std::size_t>(value);
 }
-static_assert(EventNames.size() == indexOf(CellEvent::SubmissionRefusedTeamFull) + 1,
+static_assert(EventNames.size() == indexOf(CellEvent::VoterAdded) + 1,
               "Each event has a name, in the order of the enumerators.");
 static_assert(HandledNames.size() == indexOf(EventKind::Other) + 1,
               "Each kind of event has a name, in the order of the enumerators.");
--- a/tests/control/jobs/simulated_cell.cpp
+++ b/tests/control/jobs/simulated_cell.cpp
@@ -3,6 +3,7 @@
 #include "core/record_size.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace gentiancross::tests {
 
@@ -18,8 +19,9 @@
 
 } // namespace
 
-SimulatedCell::SimulatedCell(int keepers, std::uint64_t seed)
+SimulatedCell::SimulatedCell(int keepers, std::uint64_t seed, std::size_t voters)
     : m_seed(seed)
+    , m_voters(voters)
 {
     for (int number = 1; number <= keepers; ++number)
         start("k" + std::to_string(number), true);
@@ -55,6 +57,7 @@
     }
     options.identity.session = SessionId(host + std::to_string(m_now.value()));
     options.seed = ++m_seed;
+    options.voters = m_voters;
     m_exited.erase(host);
     m_hosts[host] = std::make_unique<CellRoot>(std::move(options));
     deliverEvent(host, std::move(recovered));
@@ -76,6 +79,16 @@
     deliverEvent(host, ShutdownRequested{});
 }
 
+void SimulatedCell::heal()
+{
+    m_groups.clear();
+    m_deaf.clear();
+    m_messagesInFlight.insert(m_messagesInFlight.begin(),
+                              std::make_move_iterator(m_delayedMessages.begin()),
+                              std::make_move_iterator(m_delayedMessages.end()));
+    m_delayedMessages.clear();
+}
+
 bool SimulatedCell::areConnected(const std::string &first, const std::string &second) const
 {
     for (const std::set<std::string> &group : m_groups) {
@@ -125,6 +138,7 @@
         disk.written.emplace_back(persist->token, std::move(persist->records));
     } else if (const auto *answer = std::get_if<AnswerCall>(&effect)) {
         m_answers[answer->exchange] = answer->answer;
+        m_repeatedAnswers += m_answerTimes.try_emplace(answer->exchange, m_now).second ? 0 : 1;
     } else if (const auto *reply = std::get_if<Reply>(&effect)) {
         m_readiness[reply->exchange] = std::get<ReadinessAnswer>(reply->answer).ready;
     } else if (const auto *measured = std::get_if<Measured>(&effect)) {
@@ -157,6 +171,10 @@
         for (MessageInFlight &delivery : delivered) {
             if (!areConnected(delivery.from, delivery.to))
                 continue;
+            if (m_deaf.contains(delivery.to)) {
+                m_delayedMessages.push_back(std::move(delivery));
+                continue;
+            }
             std::optional<PeerMessage> tampered
                     = m_tamper ? m_tamper(delivery.message) : std::nullopt;
             if (tampered.has_value())
@@ -201,6 +219,12 @@
     return found == m_answers.end() ? nullptr : &found->second;
 }
 
+std::optional<Instant> SimulatedCell::answeredAt(ExchangeId exchange) const
+{
+    const auto found = m_answerTimes.find(exchange);
+    return found == m_answerTimes.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::optional<std::int64_t> SimulatedCell::wait(ExchangeId exchange, std::int64_t timeoutMs)
 {
     for (std::int64_t waited = 0; waited <= timeoutMs; waited += StepMs) {
--- a/tests/control/jobs/simulated_cell.h
+++ b/tests/control/jobs/simulated_cell.h
@@ -22,7 +22,7 @@
 class SimulatedCell
 {
 public:
-    explicit SimulatedCell(int keepers, std::uint64_t seed = 1);
+    explicit SimulatedCell(int keepers, std::uint64_t seed = 1, std::size_t voters = 3);
 
     void advance(std::int64_t milliseconds);
     void crash(const std::string &host);
@@ -34,7 +34,9 @@
     void resumeProcess(const std::string &host);
     /** Delivers messages only between hosts of the same group. */
     void partition(std::vector<std::set<std::string>> groups) { m_groups = std::move(groups); }
-    void heal() { m_groups.clear(); }
+    /** Delays messages to the host until `heal`; those that it sends arrive as before. */
+    void cutIncoming(const std::string &host) { m_deaf.insert(host); }
+    void heal();
     /** If \a tamper returns a message, it is delivered just before the original one. */
     void setTamper(std::function<std::optional<PeerMessage>(const PeerMessage &)> tamper)
     {
@@ -52,9 +54,14 @@
     ExchangeId call(const std::string &host, const CellCall &call, std::int64_t timeoutMs = 3000);
     /** The answer to a call, or null if there is none yet. */
     [[nodiscard]] const CallAnswer *answer(ExchangeId exchange) const;
+    /** When the call was answered; empty if it was not. */
+    [[nodiscard]] std::optional<Instant> answeredAt(ExchangeId exchange) const;
+    /** The number of calls that were answered more than once. */
+    [[nodiscard]] int repeatedAnswers() const { return m_repeatedAnswers; }
     /** Waits up to \a timeoutMs for an answer; returns the milliseconds waited, or nothing. */
     std::optional<std::int64_t> wait(ExchangeId exchange, std::int64_t timeoutMs);
     bool isReady(const std::string &host);
+    [[nodiscard]] bool isUp(const std::string &host) const { return m_hosts.contains(host); }
     [[nodiscard]] bool hasExited(const std::string &host) const { return m_exited.contains(host); }
     /** Number of log entries sent to the host so far. */
     [[nodiscard]] std::size_t entriesSentTo(const std::string &host) { return m_entriesSent[host]; }
@@ -94,14 +101,20 @@
     [[nodiscard]] bool areConnected(const std::string &first, const std::string &second) const;
 
     std::uint64_t m_seed;
+    std::size_t m_voters;
     Instant m_now{1'000'000};
     std::map<std::string, std::unique_ptr<CellRoot>> m_hosts;
     std::map<std::string, Disk> m_disks;
     std::deque<MessageInFlight> m_messagesInFlight;
     std::vector<std::set<std::string>> m_groups;
+    /** Hosts to which messages are delayed, and these messages. */
+    std::set<std::string> m_deaf;
+    std::deque<MessageInFlight> m_delayedMessages;
     std::uint64_t m_lastExchange = 0;
     int m_createdDisks = 0;
     std::map<ExchangeId, CallAnswer> m_answers;
+    std::map<ExchangeId, Instant> m_answerTimes;
+    int m_repeatedAnswers = 0;
     std::map<ExchangeId, bool> m_readiness;
     std::map<std::string, std::size_t> m_appendsSent;
     std::map<std::string, std::string> m_leaderReports;
--- /dev/null
+++ b/tests/control/membership/voter_replacement_test.cpp
@@ -0,0 +1,61 @@
+#include "tests/control/jobs/founded_cell.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gentiancross;
+using namespace gentiancross::tests;
+
+namespace {
+
+/** User requirement (`catch_up_s`): a host that was removed stops counting as lost this long after
+ * its successor has started. */
+constexpr std::int64_t CatchUpMs = 6000;
+constexpr std::int64_t SuccessorAfterMs = 1000;
+/** User requirement (`recovery_s`). */
+constexpr std::int64_t RecoveryMs = 15'000;
+constexpr std::size_t Voters = 5;
+
+/** Removes the hosts for good, and starts successors with empty disks under other names. */
+void replaceHosts(SimulatedCell &group, const std::vector<std::string> &lost,
+                  const std::vector<std::string> &successors)
+{
+    for (const std::string &host : lost)
+        group.crash(host);
+    group.advance(SuccessorAfterMs);
+    for (const std::string &host : successors)
+        group.restart(host);
+}
+
+/** The running keepers, the leader last. */
+std::vector<std::string> keepersOf(SimulatedCell &group)
+{
+    const std::optional<std::string> leader = group.leader();
+    REQUIRE(leader.has_value());
+    std::vector<std::string> keepers;
+    for (int number = 1; number <= 9; ++number) {
+        const std::string host = "k" + std::to_string(number);
+        if (group.isUp(host) && host != *leader)
+            keepers.push_back(host);
+    }
+    keepers.push_back(*leader);
+    return keepers;
+}
+
+} // namespace
+
+TEST_CASE("Two voters that are lost together with the leader are both replaced")
+{
+    // Guards against a cell without a leader for good after a third loss: its new leader had never
+    // heard from either lost voter and could not name the one that stayed for the moment.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        FoundedCell cell(5, seed, Voters);
+        std::vector<std::string> keepers = keepersOf(cell.group);
+        replaceHosts(cell.group, {keepers[4], keepers[seed % 4]}, {"k6", "k7"});
+        cell.group.advance(CatchUpMs);
+        keepers = keepersOf(cell.group);
+        replaceHosts(cell.group, {keepers.back()}, {"k8"});
+        cell.group.advance(RecoveryMs);
+        CHECK(cell.submit("e1", 1, 3000));
+    }
+}
--- a/tests/control/raft_consensus_test.cpp
+++ b/tests/control/raft_consensus_test.cpp
@@ -120,6 +120,34 @@
     CHECK(cluster.raft(leader).isVoting(HostId(lost)));
 }
 
+TEST_CASE("An operator can remove one of two voters that were lost together with the leader")
+{
+    // Guards against refused membership changes: the new leader had never heard from the other lost
+    // voter, which was to stay for the moment, and could not name its store.
+    RaftCluster cluster(5, 5, 7);
+    cluster.run(100);
+    const std::string former = *cluster.leader();
+    std::set<std::string> names;
+    for (const std::string &name : cluster.names())
+        names.insert(name);
+    names.erase(former);
+    const std::string lost = *names.begin();
+    cluster.crash(former);
+    cluster.crash(lost);
+    cluster.run(300);
+    const std::optional<std::string> leader = cluster.leader();
+    REQUIRE(leader.has_value());
+    const std::set<ReplicaId> before = cluster.raft(*leader).membership().voters;
+    REQUIRE(cluster.proposeVoters(*leader, "op:remove", names).ok());
+    cluster.run(100);
+    const Membership &membership = cluster.raft(*leader).membership();
+    CHECK(membership.outgoing.empty());
+    CHECK(membership.voters.size() == 4);
+    for (const ReplicaId &voter : membership.voters)
+        CHECK(before.contains(voter));
+    CHECK(cluster.violations().empty());
+}
+
 // A case from the literature: {A,B,C}, then {A}, then {B,C}, with B as the first leader.
 TEST_CASE(
         "The log stays available after {A,B,C}, {A}, {B,C} with a partition during the last change")
