Ask the membership's own replicas how long they have been silent

The cell served, but after the loss of two more keepers, which it must bear, there was no leader for good.

Cause: membership is durable, but a voter's silence was looked up by host in the replication progress of the hosts in the directory, which begins with the seeds and callers after a restart. The removed keeper was in neither, so it had no last reply, was never silent and kept its vote.

Why this mends it: ReplicaContacts gives each replica a time of its last contact: its last reply in this term, or when the leader took over. No table of hosts is asked, and another store on the same host is not taken for the voter. The leader also replicates to all hosts of the membership from the moment it is known, and a keeper that restarts knows the voters of its log as keepers.

--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -179,6 +179,9 @@
     for (const JournalRecord &record : event.records)
         m_raft->recover(record);
     m_raft->recovered(m_now, event.fresh);
+    // The seeds may be gone by now; the voters are those who know the leader.
+    for (const ReplicaId &voter : m_raft->membership().voters)
+        addKeeper(hostOf(voter));
     m_out.add(LogLine{
             false, "start",
             absl::StrCat("records=", event.records.size(), " term=", m_raft->term().value())});
--- a/control/membership/voter_supervisor.cpp
+++ b/control/membership/voter_supervisor.cpp
@@ -48,9 +48,9 @@
     std::set<HostId> votingHosts;
     for (const ReplicaId &voter : status.voters) {
         votingHosts.insert(hostOf(voter));
-        const std::optional<Instant> reply = m_raft.lastReplyOf(hostOf(voter));
-        if (reply.has_value() && now - *reply > m_options.maxSilence)
-            status.silent.push_back({voter, now - *reply});
+        const Milliseconds silence = now - m_raft.lastContactWith(voter);
+        if (voter != m_raft.replica() && silence > m_options.maxSilence)
+            status.silent.push_back({voter, silence});
     }
     for (const ReplicaId &replica : m_raft.caughtUpReplicas(now, MaxSpareSilence)) {
         if (!votingHosts.contains(hostOf(replica)))
--- a/control/raft_consensus.cpp
+++ b/control/raft_consensus.cpp
@@ -71,7 +71,7 @@
     if (!fresh)
         m_restartedAt = now;
     m_durableIndex.reset(m_log.lastIndex());
-    refreshMembership();
+    refreshMembership(now);
     // After a restart there may be no leader to wait for. If there is one, its voters refuse the
     // pre-vote or not all of them answer.
     std::uniform_int_distribution<std::int64_t> spread(0, m_timing.electionTimeoutSpread.value());
@@ -104,7 +104,7 @@
             out);
     m_bootstrap.setFresh(false);
     m_election.advanceTerm(Term(1), out);
-    refreshMembership();
+    refreshMembership(now);
     resetElectionTimer(now);
 }
 
@@ -232,6 +232,7 @@
     m_leader = m_directory.self;
     m_lastContact = now;
     m_progress.reset(now, m_log.lastIndex().next());
+    m_contacts.beginTerm(now);
     appendInCurrentTerm(now, {{}, {}, ProposalId(), NoOperation()}, out);
 }
 
@@ -240,7 +241,7 @@
     entry.index = m_log.lastIndex().next();
     entry.term = term();
     storeEntry(std::make_shared<const LogEntry>(std::move(entry)), out);
-    refreshMembership();
+    refreshMembership(now);
     replicateAll(now, false, out);
 }
 
@@ -258,9 +259,18 @@
     m_durableIndex.onTruncated(index, m_log.lastIndex());
 }
 
-void RaftConsensus::refreshMembership()
+void RaftConsensus::refreshMembership(Instant now)
 {
-    m_membership = m_log.newestMembership().value_or(m_baseMembership);
+    Membership newest = m_log.newestMembership().value_or(m_baseMembership);
+    if (newest == m_membership)
+        return;
+    m_membership = std::move(newest);
+    for (const std::set<ReplicaId> &group : {m_membership.voters, m_membership.outgoing}) {
+        for (const ReplicaId &voter : group) {
+            if (hostOf(voter) != m_directory.self)
+                addHost(now, hostOf(voter));
+        }
+    }
 }
 
 void RaftConsensus::tickLeader(Instant now, Outbox &out)
@@ -377,7 +387,7 @@
         return;
     }
     if (storeReceivedEntries(message.entries, out))
-        refreshMembership();
+        refreshMembership(now);
     const LogIndex matched(message.previousIndex.value() + message.entries.size());
     m_commitIndex = std::max(m_commitIndex, std::min(message.commit, matched));
     applyCommitted();
@@ -444,7 +454,7 @@
         m_state.restore(snapshot.state);
         m_commitIndex = snapshot.index;
         m_appliedIndex = snapshot.index;
-        refreshMembership();
+        refreshMembership(now);
         out.persist(snapshot);
     }
     out.sendAfterSync(from, makeReply(now, message.sentAt, true, snapshot.index));
@@ -490,6 +500,7 @@
     const FollowerProgress *progress = m_progress.recordReply(now, from, message);
     if (progress == nullptr)
         return;
+    m_contacts.recordReply(now, message.replica);
     confirmContacts(now, out);
     if (message.success)
         advanceCommit(now, out);
--- a/control/raft_consensus.h
+++ b/control/raft_consensus.h
@@ -3,6 +3,7 @@
 #include "control/durable_index_tracker.h"
 #include "control/election_state.h"
 #include "control/host_directory.h"
+#include "control/membership/replica_contacts.h"
 #include "control/membership_bootstrap.h"
 #include "control/outbox.h"
 #include "control/raft_log.h"
@@ -120,6 +121,8 @@
     [[nodiscard]] bool isLeader() const { return m_role == Role::Leader; }
     /** The current leader, if known to this host. */
     [[nodiscard]] std::optional<HostId> leader() const { return m_leader; }
+    /** This host's own replica of the log. */
+    [[nodiscard]] const ReplicaId &replica() const { return m_identity.replica; }
     [[nodiscard]] Term term() const { return m_election.term(); }
     [[nodiscard]] const RaftTiming &timing() const { return m_timing; }
     [[nodiscard]] LogIndex commitIndex() const { return m_commitIndex; }
@@ -160,6 +163,12 @@
      * has now, so there a store that replaces a lost one counts only once the membership names it.
      */
     [[nodiscard]] bool isVoting(const HostId &host) const;
+    /** When the replica last replied in this term, or when this host began to lead. Precondition:
+     * leader. */
+    [[nodiscard]] Instant lastContactWith(const ReplicaId &replica) const
+    {
+        return m_contacts.lastContact(replica);
+    }
     /** When the host last replied, or the latest time at which it may have replied to an earlier
      * leader. Precondition: leader. */
     [[nodiscard]] std::optional<Instant> lastReplyOf(const HostId &host) const;
@@ -185,7 +194,8 @@
     /** False if the entries are not consecutive or conflict with committed entries. */
     [[nodiscard]] bool isConsistentWithLog(const AppendRequest &message) const;
     bool storeReceivedEntries(const std::vector<SharedEntry> &entries, Outbox &out);
-    void refreshMembership();
+    /** Takes over the newest membership of the log, and replicates to all of its hosts. */
+    void refreshMembership(Instant now);
     void replicate(Instant now, const HostId &host, Outbox &out);
     [[nodiscard]] SnapshotRecord makeSnapshot() const;
     void confirmContacts(Instant now, Outbox &out);
@@ -228,6 +238,7 @@
     std::optional<Instant> m_restartedAt;
     Instant m_confirmedContact;
     ReplicationProgress m_progress;
+    ReplicaContacts m_contacts;
     std::vector<AppliedEntry> m_newlyApplied;
 };
 
--- a/tests/control/membership/voter_replacement_test.cpp
+++ b/tests/control/membership/voter_replacement_test.cpp
@@ -59,3 +59,30 @@
         CHECK(cell.submit("e1", 1, 3000));
     }
 }
+
+TEST_CASE("A voter that is lost for good while all others restart is replaced")
+{
+    // Guards against a vote of a removed host that stays for good: after the restart only seeds and
+    // callers were known, so that the host never counted as silent, and two more losses cost the
+    // majority.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        FoundedCell cell(5, seed, Voters);
+        // Not among the seeds.
+        const std::string removed = seed % 2 == 0 ? "k4" : "k5";
+        replaceHosts(cell.group, {removed}, {"k6"});
+        cell.group.advance(500);
+        std::vector<std::string> keepers = keepersOf(cell.group);
+        for (const std::string &host : keepers)
+            cell.group.crash(host);
+        cell.group.advance(300);
+        for (const std::string &host : keepers)
+            cell.group.restart(host);
+        cell.group.advance(CatchUpMs);
+        keepers = keepersOf(cell.group);
+        std::erase(keepers, "k6");
+        replaceHosts(cell.group, {keepers.front(), keepers.back()}, {"k7", "k8"});
+        cell.group.advance(RecoveryMs);
+        CHECK(cell.submit("e1", 1, 3000));
+    }
+}
