Let the relay own the calls that a leader takes itself

After a dozen cuts every keeper refused all reads, "too many reads of the configuration wait for their answer", until it was restarted.

Cause: a call that a follower takes waits in CallRelay, with a deadline. A call that the leader took went straight into its decisions. When it lost its place, updateLeadership() dropped the decisions, and nobody owned the calls: their exchanges, connections and reservations of memory stayed.

Why this mends it: every call that a host takes is in its relay until it is answered, its deadline passes or its caller has gone, whoever leads. A leader that loses its place queries for the next one at once and sends it what is still open, under the same exchange and process, so that a submission whose entry was committed is recognised. What no leader answers in time is "unknown". A host that exits answers what still waits.

--- a/control/jobs/call_relay.cpp
+++ b/control/jobs/call_relay.cpp
@@ -70,15 +70,27 @@
         refuse(event.exchange, event.call, out);
         return;
     }
-    const auto *const job = std::get_if<JobCall>(&event.call);
-    const bool isShed = job != nullptr && job->isShed;
-    Pending pending{event.call, now, now + event.timeout, std::nullopt,
-                    isShed && mayBeAccepted(event.call)};
+    Pending pending = makePending(now, event);
     if (hasLeader(now))
         send(now, event.exchange, pending, out);
     m_pending.emplace(event.exchange, std::move(pending));
 }
 
+void CallRelay::keep(Instant now, const CellCallReceived &event)
+{
+    Pending pending = makePending(now, event);
+    recordSent(now, pending);
+    m_pending.emplace(event.exchange, std::move(pending));
+}
+
+CallRelay::Pending CallRelay::makePending(Instant now, const CellCallReceived &event) const
+{
+    const auto *const job = std::get_if<JobCall>(&event.call);
+    const bool isShed = job != nullptr && job->isShed;
+    return {event.call, now, now + event.timeout, std::nullopt,
+            isShed && mayBeAccepted(event.call)};
+}
+
 bool CallRelay::mayBeAccepted(const CellCall &call) const
 {
     const auto key = submissionKey(call);
@@ -105,11 +117,17 @@
             absl::StrCat("unknown: exchange=", exchange.value(), " the leader has not answered")});
 }
 
-void CallRelay::send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out)
+void CallRelay::recordSent(Instant now, Pending &pending)
 {
     pending.sentAt = now;
     if (const auto key = submissionKey(pending.call))
         m_unansweredSubmissions[*key] = now;
+}
+
+void CallRelay::send(Instant now, ExchangeId exchange, Pending &pending, Outbox &out)
+{
+    recordSent(now, pending);
+    pending.wasForwarded = true;
     CellCall call = evacuation::withAge(pending.call, now - pending.receivedAt);
     out.send(*m_leader, RelayCallRequest{exchange, std::move(call), m_query.session});
 }
@@ -144,7 +162,7 @@
         send(now, exchange, pending, out);
 }
 
-std::optional<CellCall> CallRelay::receive(const RelayCallResponse &message, Outbox &out)
+std::optional<CellCall> CallRelay::receive(RelayCallResponse message, Outbox &out)
 {
     // The exchange id in an answer to a former process of this host may belong to another call.
     const auto found = message.session == m_query.session ? m_pending.find(message.exchange)
@@ -152,7 +170,7 @@
     if (found == m_pending.end())
         return std::nullopt;
     CellCall call = std::move(found->second.call);
-    const bool mayOvertake = found->second.mayOvertake;
+    const bool mayOvertake = found->second.isShedRepetition && found->second.wasForwarded;
     m_pending.erase(found);
     if (mayOvertake && std::holds_alternative<CallRefused>(message.answer)) {
         // The earlier submission may be accepted later.
@@ -161,13 +179,16 @@
     }
     if (const auto key = submissionKey(call))
         m_unansweredSubmissions.erase(*key);
-    out.add(AnswerCall{message.exchange, message.answer});
+    out.add(AnswerCall{message.exchange, std::move(message.answer)});
     return call;
 }
 
 void CallRelay::tick(Instant now, Outbox &out)
 {
-    expire(now, out);
+    const bool isOutage
+            = !hasLeader(now) && now - m_leaderHeardAt >= MaxLeaderSilence + MaxTakeoverTime;
+    // In an outage the caller should try another host instead of waiting for its deadline.
+    expire(now, isOutage, out);
     std::erase_if(m_unansweredSubmissions,
                   [now](const auto &entry) { return now - entry.second > MaxResubmissionAge; });
     if (hasLeader(now)) {
@@ -180,32 +201,54 @@
         queryLeader(now, out);
 }
 
-std::vector<std::pair<ExchangeId, CellCall>> CallRelay::takePending(Instant now)
+void CallRelay::tickLeader(Instant now, Outbox &out)
+{
+    expire(now, false, out);
+    std::erase_if(m_unansweredSubmissions,
+                  [now](const auto &entry) { return now - entry.second > MaxResubmissionAge; });
+}
+
+std::vector<std::pair<ExchangeId, CellCall>> CallRelay::beginToLead(Instant now, Term term)
 {
+    m_leader.reset();
+    m_leaderTerm = std::max(m_leaderTerm, term);
     std::vector<std::pair<ExchangeId, CellCall>> calls;
-    for (auto &[exchange, pending] : m_pending)
-        calls.emplace_back(exchange,
-                           evacuation::withAge(std::move(pending.call), now - pending.receivedAt));
-    m_pending.clear();
+    for (auto &[exchange, pending] : m_pending) {
+        recordSent(now, pending);
+        calls.emplace_back(exchange, evacuation::withAge(pending.call, now - pending.receivedAt));
+    }
     return calls;
 }
 
-void CallRelay::expire(Instant now, Outbox &out)
+void CallRelay::endLeading(Instant now, Instant confirmedAt)
+{
+    m_leaderHeardAt = std::max(m_leaderHeardAt, confirmedAt);
+    m_nextQuery = now;
+}
+
+void CallRelay::answerAll(Outbox &out)
+{
+    for (const auto &[exchange, pending] : m_pending)
+        answerUndecided(exchange, pending, out);
+    m_pending.clear();
+}
+
+void CallRelay::answerUndecided(ExchangeId exchange, const Pending &pending, Outbox &out)
+{
+    if (pending.sentAt.has_value())
+        answerUnknown(exchange, out);
+    else
+        refuse(exchange, pending.call, out);
+}
+
+void CallRelay::expire(Instant now, bool isOutage, Outbox &out)
 {
-    const bool isOutage
-            = !hasLeader(now) && now - m_leaderHeardAt >= MaxLeaderSilence + MaxTakeoverTime;
     for (auto pending = m_pending.begin(); pending != m_pending.end();) {
-        const bool wasSent = pending->second.sentAt.has_value();
-        // In an outage the caller should try another host instead of waiting for its deadline.
         if (now < pending->second.deadline && !isOutage) {
             ++pending;
             continue;
         }
-        if (wasSent) {
-            answerUnknown(pending->first, out);
-        } else {
-            refuse(pending->first, pending->second.call, out);
-        }
+        answerUndecided(pending->first, pending->second, out);
         pending = m_pending.erase(pending);
     }
 }
--- a/control/jobs/cell_root.cpp
+++ b/control/jobs/cell_root.cpp
@@ -118,7 +118,7 @@
     if (m_leader == nullptr)
         tickFollower();
     else
-        preferVoters();
+        tickLeader();
     for (const CallId call : m_dispatcher.takeOverdue(m_now)) {
         WorkerAnswer none;
         none.call = call;
@@ -130,6 +130,12 @@
         continueShutdown();
 }
 
+void CellRoot::tickLeader()
+{
+    preferVoters();
+    m_relay.tickLeader(m_now, m_out);
+}
+
 void CellRoot::preferVoters()
 {
     std::set<HostId> voters;
@@ -169,6 +175,7 @@
     if (m_now < m_exitAt)
         return;
     m_hasExited = true;
+    m_relay.answerAll(m_out);
     m_out.add(Exit{});
 }
 
@@ -215,7 +222,13 @@
             m_relay.receive(m_now, event, m_out);
         return;
     }
-    m_leader->receive(m_now, m_wall, {m_options.directory.self, event.exchange}, event.call, m_out);
+    m_relay.keep(m_now, event);
+    m_leader->receive(m_now, m_wall, makeOrigin(event.exchange), event.call, m_out);
+}
+
+CallOrigin CellRoot::makeOrigin(ExchangeId exchange) const
+{
+    return {m_options.directory.self, exchange, m_options.identity.session};
 }
 
 bool CellRoot::answerFromLog(const CellCallReceived &event)
@@ -380,7 +393,7 @@
     auto *const taken = std::get_if<HeartbeatAccepted>(&answered.answer);
     if (taken != nullptr)
         taken->heartbeatAddress = m_options.heartbeatAddress;
-    const std::optional<CellCall> call = m_relay.receive(answered, m_out);
+    const std::optional<CellCall> call = m_relay.receive(std::move(answered), m_out);
     const auto *const heartbeat = call.has_value() ? std::get_if<WorkerHeartbeat>(&*call) : nullptr;
     if (taken != nullptr && heartbeat != nullptr)
         m_heartbeats.recordAcknowledged(m_now, *heartbeat);
@@ -467,6 +480,7 @@
                                        " undecided=", m_proposed.size())});
         m_out.count(CellEvent::LeadershipLost);
         m_leader.reset();
+        m_relay.endLeading(m_now, m_raft->confirmedContact());
         m_dispatcher.clear();
         m_proposed.clear();
         return;
@@ -489,8 +503,8 @@
                                    " index=", m_raft->appliedIndex().value(),
                                    " jobs=", m_leader->store().jobs.size())});
     preferVoters();
-    for (const auto &[exchange, call] : m_relay.takePending(m_now))
-        m_leader->receive(m_now, m_wall, {m_options.directory.self, exchange}, call, m_out);
+    for (const auto &[exchange, call] : m_relay.beginToLead(m_now, m_raft->term()))
+        m_leader->receive(m_now, m_wall, makeOrigin(exchange), call, m_out);
     for (auto querier = m_leaderQueriers.begin(); querier != m_leaderQueriers.end();) {
         if (m_now - querier->second.queriedAt > MaxQuerierAge) {
             querier = m_leaderQueriers.erase(querier);
@@ -539,17 +553,17 @@
 
 void CellRoot::sendAnswer(const CallOrigin &origin, const CallAnswer &answer)
 {
+    RelayCallResponse response{origin.exchange, answer, origin.session};
     if (origin.host != m_options.directory.self) {
-        m_out.send(origin.host, RelayCallResponse{origin.exchange, answer, origin.session});
+        m_out.send(origin.host, std::move(response));
         return;
     }
-    AnswerCall here{origin.exchange, answer};
-    if (auto *const taken = std::get_if<HeartbeatAccepted>(&here.answer)) {
+    if (auto *const taken = std::get_if<HeartbeatAccepted>(&response.answer)) {
         const std::string elsewhere = m_dispatcher.nextHeartbeatAddress(m_now);
         if (!elsewhere.empty())
             taken->heartbeatAddress = elsewhere;
     }
-    m_out.add(std::move(here));
+    m_relay.receive(std::move(response), m_out);
 }
 
 void CellRoot::compactIfLarge()
--- a/control/jobs/cell_root.h
+++ b/control/jobs/cell_root.h
@@ -107,9 +107,11 @@
     [[nodiscard]] bool isConfirmed() const;
     void proposeDecisions();
     void applyDurableDecisions();
+    [[nodiscard]] CallOrigin makeOrigin(ExchangeId exchange) const;
     void sendAnswer(const CallOrigin &origin, const CallAnswer &answer);
     void compactIfLarge();
     void tickFollower();
+    void tickLeader();
     void preferVoters();
     [[nodiscard]] std::vector<HostLastHeard> adviserCallers() const;
     /** Reports the orders in \a effects to the leader as not sent, since its confirmation by a
--- a/tests/control/jobs/call_relay_test.cpp
+++ b/tests/control/jobs/call_relay_test.cpp
@@ -93,6 +93,34 @@
     CHECK(std::holds_alternative<CallDone>(std::get<AnswerCall>(effects.front()).answer));
 }
 
+// Guards against an unknown result where the host that decides has itself refused the call.
+TEST_CASE("A shed submission that the leading host refuses itself is refused as without effect")
+{
+    Outbox out(false);
+    CallRelay relay(HostId("leader"), {}, {keeper});
+    relay.keep(Now, submissionOf(1, "00000000000000aa"));
+    relay.forgetExchange(ExchangeId(1));
+    CellCallReceived shed = submissionOf(2, "00000000000000aa");
+    std::get<JobCall>(shed.call).isShed = true;
+    relay.keep(Now, shed);
+    const CallRefused refusal{Refusal::Unavailable, "too many large jobs", Milliseconds(1000)};
+    SECTION("while it leads")
+    {
+        relay.receive(RelayCallResponse{ExchangeId(2), refusal, {}}, out);
+        CHECK(refusalOf(ExchangeId(2), out) == Refusal::Unavailable);
+    }
+    SECTION("but not by the next leader, to which it may overtake the first one")
+    {
+        relay.endLeading(Now, Now);
+        LeaderReport report;
+        report.decides = true;
+        relay.receive(Now, keeper, report, out);
+        out.take();
+        relay.receive(RelayCallResponse{ExchangeId(2), refusal, {}}, out);
+        CHECK(refusalOf(ExchangeId(2), out) == Refusal::Unknown);
+    }
+}
+
 TEST_CASE("A submission that the leader has answered is refused truly in a later outage")
 {
     Outbox out(false);
