--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES = $(shell git ls-files 'core/*' 'control/*' 'drivers/*' 'platform/*' 'servers/*' 'main/*' 'tests/*' 'benchmarks/*' \
           | grep -E '\.(h|cpp)$$')
 
-.PHONY: all install build run test unit scenarios scenario soak soak-regressions soak-lost-responses soak-mixed-incarnations bench format-check lint clean
+.PHONY: all install build run test unit scenarios scenario soak soak-regressions soak-lost-responses soak-mixed-incarnations soak-replaced-keepers bench format-check lint clean
 
 all: build
 
@@ -23,7 +23,7 @@
 run: build
 	@$(RUNNER) tests/scenarios/tour.scenario
 
-test: unit scenarios soak-regressions soak-lost-responses clients
+test: unit scenarios soak-regressions soak-lost-responses soak-replaced-keepers clients
 
 unit: build
 	@$(BUILD)/tests/unit-tests
@@ -57,6 +57,9 @@
 soak-lost-responses: build
 	@$(SOAK) --lose-responses --workers 48 --jobs 12 --seed 3100
 
+soak-replaced-keepers: build
+	@$(SOAK) --replace-keepers --keepers 5 --seconds 60 --seed 3400 --known-red KNOWN-RED.txt
+
 # Not part of make test yet: not run on the fixes of issue 33. A seed that is known to fail is run and
 # printed, and passed over.
 soak-mixed-incarnations: build
--- a/tests/soak/cell_processes.cpp
+++ b/tests/soak/cell_processes.cpp
@@ -50,6 +50,7 @@
         m_hosts.push_back({"keeper-" + std::to_string(number), true, number});
     for (int number = 1; number <= m_options.entries; ++number)
         m_hosts.push_back({"entry-" + std::to_string(number), false, m_options.keepers + number});
+    m_lastNumber = int(m_hosts.size());
     ::setenv("GENTIANCROSS_FLEET_SECRET", "the-cell-of-the-soak", 1);
     std::filesystem::create_directories(m_options.folder);
 }
@@ -83,6 +84,10 @@
             routes.push_back({callerRoute(host.name), ip(CallerOctet, host.number), address(host),
                               FrontPort});
     }
+    // Routes can't be added later, so those of successors are opened now.
+    for (int number = m_lastNumber + 1; number <= m_lastNumber + m_options.successors; ++number)
+        routes.push_back({peerRoute("keeper-" + std::to_string(number)), ip(HostOctet, number),
+                          ip(PeerListenOctet, number), PeerPort});
     return m_relay.start(routes);
 }
 
@@ -125,7 +130,7 @@
     for (int seed = 0; seed < std::min<int>(SeedCount, int(all.size())); ++seed)
         json["seeds"].append(all[std::size_t(seed)]);
     json["bootstrap"] = host.isFirstStart;
-    json["fault_tolerance"]["machines"] = 1;
+    json["fault_tolerance"]["machines"] = m_options.tolerance;
     json["advice"] = m_options.adviser;
     // Replaced by a rename, which is atomic, since the host may read the file at any time.
     const std::string path = m_options.folder + '/' + host.name + ".json";
@@ -133,17 +138,19 @@
     std::filesystem::rename(path + ".new", path);
 }
 
-CellProcess &CellProcesses::find(const std::string &name)
+CellProcess *CellProcesses::find(const std::string &name)
 {
-    return *std::find_if(m_hosts.begin(), m_hosts.end(),
-                         [&](const CellProcess &host) { return host.name == name; });
+    const auto found = std::find_if(m_hosts.begin(), m_hosts.end(),
+                                    [&](const CellProcess &host) { return host.name == name; });
+    return found == m_hosts.end() ? nullptr : &*found;
 }
 
 void CellProcesses::start(const std::string &name)
 {
-    CellProcess &host = find(name);
-    if (host.pid != 0)
+    CellProcess *const found = find(name);
+    if (found == nullptr || found->pid != 0)
         return;
+    CellProcess &host = *found;
     writeSettings(host);
     const std::string base = m_options.folder + '/' + name;
     host.pid = spawn({m_options.binary, "cell", "--boot", base + ".json", "--peer-ip",
@@ -154,9 +161,10 @@
 
 void CellProcesses::kill(const std::string &name)
 {
-    CellProcess &host = find(name);
-    if (host.pid == 0)
+    CellProcess *const found = find(name);
+    if (found == nullptr || found->pid == 0)
         return;
+    CellProcess &host = *found;
     ::kill(host.pid, SIGKILL);
     while (::waitpid(host.pid, nullptr, 0) < 0 && errno == EINTR) {
     }
@@ -166,9 +174,10 @@
 
 int CellProcesses::terminate(const std::string &name)
 {
-    CellProcess &host = find(name);
-    if (host.pid == 0)
+    CellProcess *const found = find(name);
+    if (found == nullptr || found->pid == 0)
         return 0;
+    CellProcess &host = *found;
     setPaused(name, false);
     ::kill(host.pid, SIGTERM);
     for (auto waited = ExitPollInterval; waited < TerminationGrace; waited += ExitPollInterval) {
@@ -185,7 +194,10 @@
 
 void CellProcesses::setPaused(const std::string &name, bool paused)
 {
-    CellProcess &host = find(name);
+    CellProcess *const found = find(name);
+    if (found == nullptr)
+        return;
+    CellProcess &host = *found;
     if (host.pid != 0)
         ::kill(host.pid, paused ? SIGSTOP : SIGCONT);
     host.isPaused = paused && host.pid != 0;
@@ -193,9 +205,10 @@
 
 void CellProcesses::reloadSettings(const std::string &name)
 {
-    CellProcess &host = find(name);
-    if (host.pid == 0)
+    CellProcess *const found = find(name);
+    if (found == nullptr || found->pid == 0)
         return;
+    CellProcess &host = *found;
     writeSettings(host);
     ::kill(host.pid, SIGHUP);
 }
@@ -205,6 +218,44 @@
     std::filesystem::remove_all(m_options.folder + '/' + name);
 }
 
+void CellProcesses::remove(const std::string &name)
+{
+    kill(name);
+    eraseDisk(name);
+    std::erase_if(m_hosts, [&](const CellProcess &host) { return host.name == name; });
+}
+
+std::string CellProcesses::addKeeper()
+{
+    const int number = ++m_lastNumber;
+    CellProcess host{"keeper-" + std::to_string(number), true, number};
+    host.isFirstStart = false;
+    m_hosts.push_back(host);
+    start(host.name);
+    return host.name;
+}
+
+long CellProcesses::lastTermLed(const std::string &name) const
+{
+    static const std::string marker = "gained leadership: term=";
+    std::ifstream log(m_options.folder + '/' + name + ".log");
+    long term = -1;
+    for (std::string line; std::getline(log, line);) {
+        const std::size_t found = line.find(marker);
+        if (found != std::string::npos)
+            term = std::stol(line.substr(found + marker.size()));
+    }
+    return term;
+}
+
+std::vector<std::string> CellProcesses::metricsAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const CellProcess &host : m_hosts)
+        addresses.push_back(address(host) + ':' + std::to_string(PeerPort + 1));
+    return addresses;
+}
+
 void CellProcesses::setPeersCut(const std::string &name, bool cut)
 {
     m_relay.setCut(peerRoute(name), cut);
@@ -222,10 +273,10 @@
 
 bool CellProcesses::hasExited(const std::string &name)
 {
-    CellProcess &host = find(name);
-    if (host.pid == 0 || ::waitpid(host.pid, nullptr, WNOHANG) != host.pid)
+    CellProcess *const host = find(name);
+    if (host == nullptr || host->pid == 0 || ::waitpid(host->pid, nullptr, WNOHANG) != host->pid)
         return false;
-    host.pid = 0;
+    host->pid = 0;
     return true;
 }
 
--- a/tests/soak/cell_processes.h
+++ b/tests/soak/cell_processes.h
@@ -31,6 +31,10 @@
     int keepers = 4;
     int entries = 3;
     std::string adviser;
+    /** How many keepers may be lost at the same time. */
+    int tolerance = 1;
+    /** How many keepers can be added during the run. */
+    int successors = 0;
 };
 
 /**
@@ -60,6 +64,11 @@
     /** Rewrites the settings file and sends SIGHUP. */
     void reloadSettings(const std::string &name);
     void eraseDisk(const std::string &name);
+    /** Removes a keeper for good, with its disk; kills it if it is running. */
+    void remove(const std::string &name);
+    /** Starts a keeper with an empty disk at a new address, and returns its name. Precondition:
+     * fewer than `successors` were added. */
+    std::string addKeeper();
     /** Blocks or unblocks the traffic from other hosts to this one. */
     void setPeersCut(const std::string &name, bool cut);
     /** Resets all connections of callers to this entry host, without an orderly close. */
@@ -69,18 +78,25 @@
     /** Reaps the process and returns true if it has exited without being told to. */
     bool hasExited(const std::string &name);
 
-    [[nodiscard]] std::vector<CellProcess> &hosts() { return m_hosts; }
+    [[nodiscard]] const std::vector<CellProcess> &hosts() const { return m_hosts; }
+    [[nodiscard]] int tolerance() const { return m_options.tolerance; }
+    /** The last term in which the host has logged that it leads; -1 if there is none. */
+    [[nodiscard]] long lastTermLed(const std::string &name) const;
+    [[nodiscard]] std::vector<std::string> metricsAddresses() const;
     [[nodiscard]] std::vector<std::string> controlAddresses() const;
     [[nodiscard]] std::vector<std::string> frontAddresses() const;
 
 private:
-    CellProcess &find(const std::string &name);
+    /** The host, or null if it was removed. */
+    CellProcess *find(const std::string &name);
     [[nodiscard]] std::string ip(int thirdOctet, int number) const;
     [[nodiscard]] std::string address(const CellProcess &host) const;
     void writeSettings(const CellProcess &host) const;
 
     CellProcessOptions m_options;
     std::vector<CellProcess> m_hosts;
+    /** The number of the host that was added last. */
+    int m_lastNumber = 0;
     Relay m_relay;
 };
 
--- a/tests/soak/emulated_platform.cpp
+++ b/tests/soak/emulated_platform.cpp
@@ -140,6 +140,12 @@
     post(index, id + "/heartbeat", codec::formatJson(json), [](const HttpResult &) {});
 }
 
+void EmulatedPlatform::setControlAddresses(std::vector<std::string> addresses)
+{
+    const std::lock_guard lock(m_addressMutex);
+    m_options.controlAddresses = std::move(addresses);
+}
+
 void EmulatedPlatform::sendLeave(std::size_t index, std::int64_t bornMs)
 {
     post(index, m_workers[index]->id() + "/leave", R"({"born":)" + std::to_string(bornMs) + '}',
@@ -149,10 +155,14 @@
 void EmulatedPlatform::post(std::size_t index, const std::string &path, const std::string &body,
                             HttpClient::Completion completion)
 {
-    const std::size_t turn = (index + m_controlTurns[index]) % m_options.controlAddresses.size();
     HttpCall call;
     call.method = "POST";
-    call.url = "http://" + m_options.controlAddresses[turn] + "/instances/" + path;
+    {
+        const std::lock_guard lock(m_addressMutex);
+        const std::vector<std::string> &addresses = m_options.controlAddresses;
+        call.url = "http://" + addresses[(index + m_controlTurns[index]) % addresses.size()]
+                + "/instances/" + path;
+    }
     call.headers["Content-Type"] = "application/json";
     call.body = std::make_shared<const std::string>(body);
     call.timeout = HeartbeatTimeout;
--- a/tests/soak/emulated_platform.h
+++ b/tests/soak/emulated_platform.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -75,6 +76,8 @@
     void sendHeartbeat(std::size_t index);
     /** Safe from any thread. Sends what another writer says about a worker. */
     void sendForeignHeartbeat(std::size_t index, const ForeignHeartbeat &foreign);
+    /** Safe from any thread. Sends heartbeats to these keepers from now on. */
+    void setControlAddresses(std::vector<std::string> addresses);
     /** Safe from any thread. Sends the leave call of the worker's incarnation born at \a bornMs. */
     void sendLeave(std::size_t index, std::int64_t bornMs);
 
@@ -84,6 +87,8 @@
               HttpClient::Completion completion);
 
     PlatformOptions m_options;
+    /** Guards the control addresses in the options. */
+    std::mutex m_addressMutex;
     EmulatedAdviser m_adviser;
     std::vector<std::unique_ptr<EmulatedWorker>> m_workers;
     /** By worker, how many heartbeats have failed; each failure moves on to the next address. */
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds CatchUpTime{7'000};
 constexpr Milliseconds ReadBackTimeout{8'000};
 constexpr int WorkersOctet = 9;
+/** Enough for the losses of some minutes. */
+constexpr int MaxSuccessors = 120;
 /** Short enough that runs end before the leader learns of the worker's next incarnation. */
 constexpr std::int64_t ShortRunMs = 250;
 
@@ -29,8 +31,13 @@
 
 CellProcessOptions cellOptions(const SoakOptions &options, const std::string &adviser)
 {
-    return {options.binary,  options.folder,  options.secondOctet,
-            options.keepers, options.entries, adviser};
+    CellProcessOptions cell{options.binary,  options.folder,  options.secondOctet,
+                            options.keepers, options.entries, adviser};
+    if (options.replacesKeepers) {
+        cell.tolerance = (options.keepers - 1) / 2;
+        cell.successors = MaxSuccessors;
+    }
+    return cell;
 }
 
 ClientOptions clientOptions(const SoakOptions &options, const CellProcesses &cell)
@@ -73,6 +80,7 @@
     , m_platform(platformOptions(m_options), m_checker)
     , m_cell(cellOptions(m_options, m_platform.adviserAddress()))
     , m_clients(clientOptions(m_options, m_cell), m_options.seed, m_checker)
+    , m_losses(m_cell, m_random, m_checker)
 {}
 
 bool Soak::run()
@@ -84,7 +92,11 @@
     }
     const Instant begin = m_clock.now();
     m_clients.start();
-    injectUntil(begin + Milliseconds(std::int64_t(m_options.seconds) * 1000));
+    const Instant end = begin + Milliseconds(std::int64_t(m_options.seconds) * 1000);
+    if (m_options.replacesKeepers)
+        loseKeepersUntil(end);
+    else
+        injectUntil(end);
     // A recovery may schedule another one.
     while (!m_recoveries.empty())
         runDueRecoveries(true);
@@ -95,6 +107,7 @@
     checkConfiguration();
     m_clients.stop();
     checkUnexpectedExits();
+    m_losses.checkOpenExchanges();
     return m_checker.violations().empty();
 }
 
@@ -181,6 +194,18 @@
     }
 }
 
+void Soak::loseKeepersUntil(Instant end)
+{
+    m_losses.startReaders();
+    while (m_clock.now() < end) {
+        m_losses.disturb();
+        m_platform.setControlAddresses(m_cell.controlAddresses());
+        changeConfiguration();
+        checkUnexpectedExits();
+    }
+    m_losses.stopReaders();
+}
+
 void Soak::injectOne()
 {
     using Fault = void (Soak::*)();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 
 #include "tests/soak/cell_processes.h"
 #include "tests/soak/emulated_platform.h"
+#include "tests/soak/keeper_losses.h"
 #include "tests/soak/soak_clients.h"
 #include "tests/soak/soak_random.h"
 
@@ -34,6 +35,9 @@
      * leave calls, beside heartbeats of other writers. The faults of a seed differ from those
      * without this. */
     bool mixesIncarnations = false;
+    /** True for a run that plays only losses of keepers for good, of all keepers at once and of the
+     * leader's connections (see KeeperLosses). */
+    bool replacesKeepers = false;
 };
 
 /**
@@ -62,6 +66,7 @@
     bool waitUntilServing();
     void injectUntil(Instant end);
     void injectOne();
+    void loseKeepersUntil(Instant end);
     /** Ends the faults whose time is up, or all of them if \a isAll. */
     void runDueRecoveries(bool isAll);
     void scheduleRecovery(std::int64_t milliseconds, std::function<void()> action);
@@ -106,6 +111,7 @@
     EmulatedPlatform m_platform;
     CellProcesses m_cell;
     SoakClients m_clients;
+    KeeperLosses m_losses;
     std::vector<ScheduledRecovery> m_recoveries;
     std::uint64_t m_documentVersion = 0;
     std::uint64_t m_acknowledgedVersion = 0;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -13,9 +13,10 @@
 /** The name of a run in the file of tests known to fail. */
 std::string nameOf(const gentiancross::tests::SoakOptions &options)
 {
-    return std::string(options.mixesIncarnations        ? "soak-mix-incarnations-"
-                               : options.losesResponses ? "soak-lose-responses-"
-                                                        : "soak-")
+    return std::string(options.mixesIncarnations         ? "soak-mix-incarnations-"
+                               : options.losesResponses  ? "soak-lose-responses-"
+                               : options.replacesKeepers ? "soak-replace-keepers-"
+                                                         : "soak-")
             + std::to_string(options.seed);
 }
 
@@ -45,6 +46,10 @@
                          "messages also reach a worker's next incarnation, and other writers send "
                          "heartbeats",
                          line);
+    TCLAP::SwitchArg replace("", "replace-keepers",
+                             "plays only losses of keepers: removed for good, all killed at once, "
+                             "leaders cut off",
+                             line);
     TCLAP::ValueArg<std::string> knownRed("", "known-red", "file of tests known to fail", false, "",
                                           "path", line);
     line.parse(argc, argv);
@@ -67,6 +72,7 @@
         options.injectsFaults = !calm.getValue();
         options.losesResponses = lose.getValue();
         options.mixesIncarnations = mix.getValue();
+        options.replacesKeepers = replace.getValue();
         std::filesystem::remove_all(options.folder);
         std::filesystem::create_directories(options.folder);
         gentiancross::tests::Soak soak(options);
