--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 	@$(SOAK) --lose-responses --workers 48 --jobs 12 --seed 3100
 
 soak-replaced-keepers: build
-	@$(SOAK) --replace-keepers --keepers 5 --seconds 60 --seed 3400 --known-red KNOWN-RED.txt
+	@$(SOAK) --replace-keepers --keepers 5 --seconds 60 --seed 1 --known-red KNOWN-RED.txt
 
 # Not part of make test yet: not run on the fixes of issue 33. A seed that is known to fail is run and
 # printed, and passed over.
--- a/tests/control/jobs/open_calls_test.cpp
+++ b/tests/control/jobs/open_calls_test.cpp
@@ -25,10 +25,11 @@
     heartbeat.report.incarnation = {WorkerId("w" + std::to_string(number)), Milliseconds(1)};
     heartbeat.report.address = "worker:" + std::to_string(number);
     heartbeat.sequence = 1;
-    const std::vector<CellCall> kinds = {GetConfiguration{}, makePut(1000 + std::uint64_t(number)),
+    const std::vector<CellCall> kinds = {GetConfiguration{}, makePut(1000U + std::uint64_t(number)),
                                          makeSubmit(number), makeLook(number),
                                          heartbeat,          ListEvacuations{}};
     std::vector<OpenCall> calls;
+    calls.reserve(kinds.size());
     for (const CellCall &kind : kinds)
         calls.push_back({group.call(host, kind, TimeoutMs),
                          group.now() + Milliseconds(TimeoutMs + TickMarginMs)});
--- a/tests/control/membership/cell_loss_test.cpp
+++ b/tests/control/membership/cell_loss_test.cpp
@@ -16,6 +16,7 @@
 /** User requirement (`recovery_s`). */
 constexpr std::int64_t RecoveryMs = 15'000;
 constexpr std::int64_t CutMs = 2500;
+constexpr std::uint64_t FirstVersion = 1000;
 constexpr std::int64_t TimeoutMs = 1800;
 /** A deadline is found at the first tick after it. */
 constexpr std::int64_t TickMarginMs = 100;
@@ -40,7 +41,7 @@
     /** Plays one disturbance and waits until all hosts count again. */
     void disturb()
     {
-        const int kind = between(0, 9);
+        const std::int64_t kind = between(0, 9);
         if (kind < 4) {
             loseForGood(std::size_t(between(1, Tolerated)));
             if (kind == 0)
@@ -88,7 +89,10 @@
         Instant deadline;
     };
 
-    int between(int low, int high) { return std::uniform_int_distribution(low, high)(m_random); }
+    std::int64_t between(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution(low, high)(m_random);
+    }
 
     void advance(std::int64_t milliseconds)
     {
@@ -104,9 +108,9 @@
     void makeCall(const std::string &host)
     {
         CellCall call = GetConfiguration{};
-        const int kind = between(0, 3);
+        const std::int64_t kind = between(0, 3);
         if (kind == 1)
-            call = makePut(std::uint64_t(1000 + ++m_lastJob));
+            call = makePut(FirstVersion + std::uint64_t(++m_lastJob));
         else if (kind == 2)
             call = makeSubmit(++m_lastJob);
         m_calls.push_back({m_cell.group.call(host, call, TimeoutMs), host, m_starts[host],
--- a/tests/control/membership/voter_replacement_test.cpp
+++ b/tests/control/membership/voter_replacement_test.cpp
@@ -13,7 +13,7 @@
 constexpr std::int64_t SuccessorAfterMs = 1000;
 /** User requirement (`recovery_s`). */
 constexpr std::int64_t RecoveryMs = 15'000;
-const VoterOptions FiveVoters{5};
+const VoterOptions fiveVoters{5};
 
 /** Removes the hosts for good, and starts successors with empty disks under other names. */
 void replaceHosts(SimulatedCell &group, const std::vector<std::string> &lost,
@@ -49,7 +49,7 @@
     // heard from either lost voter and could not name the one that stayed for the moment.
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         CAPTURE(seed);
-        FoundedCell cell(5, seed, FiveVoters);
+        FoundedCell cell(5, seed, fiveVoters);
         std::vector<std::string> keepers = keepersOf(cell.group);
         replaceHosts(cell.group, {keepers[4], keepers[seed % 4]}, {"k6", "k7"});
         cell.group.advance(CatchUpMs);
@@ -67,7 +67,7 @@
     // majority.
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         CAPTURE(seed);
-        FoundedCell cell(5, seed, FiveVoters);
+        FoundedCell cell(5, seed, fiveVoters);
         // Not among the seeds.
         const std::string removed = seed % 2 == 0 ? "k4" : "k5";
         replaceHosts(cell.group, {removed}, {"k6"});
