Log how many voters there are when one is added

The line named the number of voters after the change, so that it read "too few: voters=5 wanted=5". It names the present number now.

--- a/control/membership/voter_supervisor.cpp
+++ b/control/membership/voter_supervisor.cpp
@@ -97,13 +97,14 @@
 
 void VoterSupervisor::propose(Instant now, const VoterPlan &plan, Outbox &out)
 {
+    const std::size_t present = m_raft.membership().voters.size();
     const ProposalId proposal(absl::StrCat("voters:", m_session.value(), ":", ++m_proposals));
     const absl::Status status = m_raft.proposeMembership(now, proposal, plan.voters, out);
     for (const auto &[former, successor] : plan.replacements) {
-        std::string reason = former.has_value()
+        const std::string reason = former.has_value()
                 ? absl::StrCat("in place of ", former->replica.value(),
                                ": silence_ms=", former->silence.value())
-                : absl::StrCat("since there are too few: voters=", plan.voters.size(),
+                : absl::StrCat("since there are too few: voters=", present,
                                " wanted=", m_options.voters);
         out.add(LogLine{!status.ok(), successor.value(),
                         absl::StrCat(status.ok() ? "proposed as voter " : "refused as voter ",
