Report a missing metric as a violation in the soak of lost keepers

A metric that the host's text lacks counted as 0, so the check of open calls would have passed if the name changed.

--- a/tests/soak/keeper_losses.cpp
+++ b/tests/soak/keeper_losses.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace gentiancross::tests {
 
@@ -23,15 +24,15 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
 }
 
-/** The value of a metric without labels; 0 if the text lacks it. */
-long valueOf(const std::string &text, const std::string &name)
+/** The value of a metric without labels; empty if the text lacks it. */
+std::optional<long> valueOf(const std::string &text, const std::string &name)
 {
     const std::size_t found = text.find("\n" + name + ' ');
+    if (found == std::string::npos)
+        return std::nullopt;
+    const char *const begin = text.data() + found + name.size() + 2;
     long value = 0;
-    if (found != std::string::npos) {
-        const char *const begin = text.data() + found + name.size() + 2;
-        std::from_chars(begin, text.data() + text.size(), value);
-    }
+    std::from_chars(begin, text.data() + text.size(), value);
     return value;
 }
 
@@ -179,9 +180,11 @@
         const std::string &text = *result.response.body;
         for (const char *metric :
              {"gentiancross_exchanges_overdue", "gentiancross_configuration_reads_open"}) {
-            const long open = valueOf(text, metric);
-            if (open > 0)
-                m_checker.reportViolation(std::string(metric) + " is " + std::to_string(open)
+            const std::optional<long> open = valueOf(text, metric);
+            if (!open.has_value())
+                m_checker.reportViolation(std::string(metric) + " is missing at " + address);
+            else if (*open > 0)
+                m_checker.reportViolation(std::string(metric) + " is " + std::to_string(*open)
                                           + " at " + address);
         }
     }
